--- /dev/null
+++ b/include/thistlefold/exchange.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <unordered_map>
+#include <vector>
+
+#include "thistlefold/samples.hpp"
+
+namespace thistlefold {
+
+struct Session;
+
+enum class Readiness { ready, draining, gone };
+
+/// What this office has seen of one exchange. Plain state: only the module reads or changes it, but for
+/// `place` and `own`, which are set where the exchange is first listed.
+struct Exchange {
+  int place = -1;
+  bool own = false;
+
+  Readiness readiness = Readiness::gone;
+  Instant started = Instant::longAgo();
+
+  double freeCircuits = 0;  // of the group between here and there
+  double circuits = -1;     // below zero: not told yet
+  std::unordered_map<const Exchange*, Instant> turnedBack;  // by destination; looked up, never walked
+
+  Samples<bool, 12> answered;       // outcomes: answered in any way, or not
+  Samples<Span, 8> postDialDelays;  // of sessions that stood
+  Samples<Instant, 64> sent;        // INVITEs that went to or through it
+  Samples<double, 4> canTake;       // reported: set-ups a second from all senders
+  Samples<double, 4> holdBack;      // reported: share of set-ups to hold back
+  std::vector<const Session*> ringing;  // INVITEs out, oldest first
+  Instant heldUntil = Instant::longAgo();
+  Instant lastTrial = Instant::longAgo();
+  bool probing = false;
+};
+
+}  // namespace thistlefold
--- /dev/null
+++ b/include/thistlefold/office_data.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <vector>
+
+#include "thistlefold/time.hpp"
+
+namespace thistlefold {
+
+/// A service that subscribers dial.
+struct Service {
+  double value = 1;
+  double lateValue = 0;
+  Span postDialTarget;
+  Span timerLimit;
+  Span meanHold;
+  bool repeatable = true;  // an INVITE that may have run may be followed by another
+  std::vector<int> pools;  // places of the pools with the skill; empty: any
+};
+
+/// A customer whose sessions beyond its share are worth little.
+struct Subscriber {
+  double sharePerSecond = 0;
+};
+
+/// What one office is told when it is put into service.
+struct OfficeData {
+  std::vector<Service> services;
+  std::vector<Subscriber> subscribers;
+  double overShareWorth = 1;
+  int offices = 1;
+  bool pools = false;
+  int maxInvites = 1;
+  bool mayProbe = false;
+  bool mustSubscribe = false;  // the directory tells only those who asked
+  Span askWithin;
+  bool takesRetryAfter = false;
+  Span longestRetryAfter;
+  Span clearWait;
+  double coldFrom = 0;
+  Span warmAfter;
+  double fallMultiple = 0;
+  Span tipAfter;
+};
+
+}  // namespace thistlefold
--- /dev/null
+++ b/include/thistlefold/samples.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+
+#include "thistlefold/time.hpp"
+
+namespace thistlefold {
+
+/// The last few samples of something measured, oldest first, each with the instant it was taken.
+template <typename T, std::size_t N>
+class Samples {
+ public:
+  struct Sample {
+    Instant at;
+    T value;
+  };
+
+  void add(Instant at, T value) {
+    if (count_ == N) {
+      first_ = (first_ + 1) % N;
+      --count_;
+    }
+    ring_[(first_ + count_) % N] = Sample{at, value};
+    ++count_;
+  }
+  void clear() { count_ = 0; }
+  std::size_t size() const { return count_; }
+  static constexpr std::size_t room() { return N; }
+  const Sample& operator[](std::size_t i) const { return ring_[(first_ + i) % N]; }
+  const Sample& last() const { return (*this)[count_ - 1]; }
+
+ private:
+  std::array<Sample, N> ring_{};
+  std::size_t first_ = 0;
+  std::size_t count_ = 0;
+};
+
+}  // namespace thistlefold
--- /dev/null
+++ b/include/thistlefold/session.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "thistlefold/office_data.hpp"
+#include "thistlefold/time.hpp"
+
+namespace thistlefold {
+
+struct Exchange;
+
+/// A session taken by this office. The upper part is filled in at the door, the lower belongs to the module.
+struct Session {
+  const Service* service = nullptr;
+  int subscriber = -1;
+  double width = 1;
+  Exchange* destination = nullptr;
+  Exchange* advised = nullptr;  // the centre's advice, if any
+  Instant timerLimit;
+  std::uint64_t dialledNumber = 0;
+  bool transit = false;
+  bool redialled = false;
+  bool wasCut = false;
+
+  Instant taken;
+  Instant due;  // when it is to be looked at next
+  bool over = false;
+  bool standing = false;
+  bool mayHaveRun = false;
+  int invites = 0;
+  Exchange* ringingAt = nullptr;
+  Instant sentAt;
+  std::vector<const Exchange*> tried;
+};
+
+}  // namespace thistlefold
--- /dev/null
+++ b/src/drill/main.cpp
@@ -0,0 +1,19 @@
+#include <iostream>
+
+#include "drill.hpp"
+
+int main() {
+  std::ios::sync_with_stdio(false);
+  std::cin.tie(nullptr);
+  thistlefold::drill::Drill drill;
+  std::string line;
+  for (long number = 1; std::getline(std::cin, line); ++number) {
+    try {
+      std::cout << drill.answer(line) << '\n' << std::flush;
+    } catch (const thistlefold::drill::WireFault& fault) {
+      std::cerr << "thistlefold_drill: line " << number << ": " << fault.what() << '\n';
+      return 1;
+    }
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/rules.cpp
@@ -0,0 +1,413 @@
+// All decisions of one office. The interface is include/thistlefold/controller.hpp: openOffice() makes the
+// decisions of one office from its OfficeData and a seed; call round() with the clock, all that came in and
+// a Writer. Arrivals calls back what was seen; whatever is decided is in the Writer when round() returns.
+//
+// Order of reading: round() collects, decide() takes each session in hand, place() and carry() are the
+// mechanism of docs/design.md, invite() and refuse() are the only ways to act on a session.
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+
+#include "thistlefold/controller.hpp"
+
+namespace thistlefold {
+namespace {
+
+class Rules final : public Controller {
+ public:
+  Rules(const OfficeData& data, std::uint64_t seed)
+      : data_(data), chance_(static_cast<std::ranlux24_base::result_type>(seed ^ (seed >> 24))) {}
+
+  void round(Instant now, Arrivals& arrivals, Writer& writer) override {
+    now_ = now;
+    writer_ = &writer;
+    if (data_.mustSubscribe && askAt_ <= now_) subscribe();
+    arrivals.deliver(*this);
+    if (data_.mustSubscribe && askAt_ <= now_) subscribe();
+    std::vector<Session*> inHand;
+    std::erase_if(waiting_, [&](Session* session) {
+      if (session->due > now_) return false;
+      inHand.push_back(session);
+      return true;
+    });
+    // Where several come at once the dearer goes first.
+    std::stable_sort(inHand.begin(), inHand.end(),
+                     [&](const Session* a, const Session* b) { return worth(*a) > worth(*b); });
+    for (Session* session : inHand) decide(*session);
+    wakeForTheNext();
+  }
+
+  void listed(Exchange& exchange, Readiness readiness, Instant started) override {
+    if (std::find(exchanges_.begin(), exchanges_.end(), &exchange) == exchanges_.end()) {
+      exchanges_.push_back(&exchange);
+    }
+    if (exchange.own) own_ = &exchange;
+    if (readiness == Readiness::ready && (exchange.readiness != readiness || started > exchange.started)) {
+      // Another processor than the one that was judged.
+      exchange.answered.clear();
+      exchange.postDialDelays.clear();
+      exchange.heldUntil = Instant::longAgo();
+    }
+    exchange.readiness = readiness;
+    exchange.started = std::max(exchange.started, started);
+  }
+
+  void listFailed() override {
+    // A quarter of the time after which silence counts as knowledge leaves room for two more failures.
+    askAt_ = now_ + data_.askWithin * (0.25 * std::generate_canonical<double, 24>(chance_));
+  }
+
+  void circuits(Exchange& exchange, double free, double size) override {
+    exchange.freeCircuits = free;
+    exchange.circuits = size;
+  }
+
+  void canTake(Exchange& exchange, double setUpsPerSecond) override {
+    exchange.canTake.add(now_, setUpsPerSecond);
+  }
+
+  void holdBack(Exchange& exchange, double share) override { exchange.holdBack.add(now_, share); }
+
+  void probed(Exchange& exchange, bool) override { exchange.probing = false; }
+
+  void incoming(Session& session) override {
+    session.taken = now_;
+    session.due = now_;
+    waiting_.push_back(&session);
+    if (!session.transit) offered_.add(now_, session.service->value);
+  }
+
+  void accepted(Session& session, Span postDialDelay) override {
+    session.standing = true;
+    Exchange* at = session.ringingAt;
+    if (at == nullptr) return;
+    std::erase(at->ringing, &session);
+    judge(session, *at, true);
+    if (at == session.destination) at->postDialDelays.add(now_, postDialDelay);
+    delays_.add(now_, postDialDelay);
+  }
+
+  void ended(Session& session, Exchange& at, Ending ending, Reason reason, bool farProcessor, Span toldWait,
+             bool final) override {
+    std::erase(at.ringing, &session);
+    session.ringingAt = nullptr;
+    const bool stood = session.standing;
+    session.standing = false;
+    if (!stood) learn(session, at, ending, reason, farProcessor, toldWait);
+    if (final || session.over) {
+      session.over = true;
+      return;
+    }
+    if (ending != Ending::full && ending != Ending::moot && ending != Ending::unreachable) {
+      session.mayHaveRun = true;
+    }
+    if (session.transit) return refuse(session, Span::none());
+    const bool mayBeHeld =
+        ending == Ending::timedOut || ending == Ending::reset || ending == Ending::cancelled;
+    session.due = mayBeHeld ? now_ + data_.clearWait : now_;
+    if (session.mayHaveRun && !session.service->repeatable) return refuse(session, comeBack());
+    if (session.due >= targetOf(session)) return refuse(session, comeBack());
+    if (reason == Reason::lineBusy) return refuse(session, comeBack());
+    waiting_.push_back(&session);
+  }
+
+  void abandoned(Session& session) override {
+    session.over = true;
+    std::erase(waiting_, &session);
+  }
+
+ private:
+  // ---- The ordinary path -------------------------------------------------------------------------------
+
+  void decide(Session& session) {
+    if (session.over) return;
+    if (session.destination == nullptr || now_ >= session.timerLimit) return refuse(session, comeBack());
+    session.transit ? carry(session) : place(session);
+  }
+
+  void place(Session& session) {
+    Exchange& destination = *session.destination;
+    if (!data_.pools && !fit(session, destination)) return refuse(session, comeBack());
+    const bool direct = !data_.pools || (fit(session, destination) && !tried(session, destination));
+    if (direct && hasRoom(session, destination)) {
+      if (invite(session, destination)) return;
+      return refuse(session, comeBack());
+    }
+    while (Exchange* tandem = cheapestTandem(session)) {
+      if (invite(session, *tandem)) return;
+      session.tried.push_back(tandem);
+    }
+    refuse(session, comeBack());
+  }
+
+  void carry(Session& session) {
+    Exchange& destination = *session.destination;
+    if (busyShare(destination) + share(session, destination) <= kCap && fit(session, destination) &&
+        invite(session, destination)) {
+      return;
+    }
+    refuse(session, Span::none());
+  }
+
+  // No two-leg session takes a leg past this share: what is above it is kept for direct sessions.
+  // The design's starting value.
+  static constexpr double kCap = 0.9;
+
+  // Base of the cost curve, 1 + 1/gamma with gamma above one. gamma = 2 is the middle of the range.
+  static constexpr double kBase = 1.5;
+
+  // A far leg that turned a session back is taken for empty again after this. The design's starting value.
+  static constexpr Span kFading = Span::ms(10000);
+
+  static double cost(double busy, double add) { return std::pow(kBase, busy + add) - std::pow(kBase, busy); }
+  // A group that was not told of yet is taken for empty: an INVITE that finds no circuit costs nothing.
+  static bool hasRoom(const Session& session, const Exchange& leg) {
+    return leg.circuits < 0 || leg.freeCircuits >= session.width;
+  }
+  static double busyShare(const Exchange& leg) {
+    return leg.circuits > 0 ? (leg.circuits - leg.freeCircuits) / leg.circuits : leg.circuits < 0 ? 0 : 1;
+  }
+  static double share(const Session& session, const Exchange& leg) {
+    return leg.circuits > 0 ? session.width / leg.circuits : leg.circuits < 0 ? 0 : 1;
+  }
+
+  double farShare(const Exchange& tandem, const Exchange& destination) const {
+    const auto entry = tandem.turnedBack.find(&destination);
+    if (entry == tandem.turnedBack.end()) return 0;
+    return kCap * std::max(0.0, 1.0 - (now_ - entry->second) / kFading);
+  }
+
+  Exchange* cheapestTandem(const Session& session) const {
+    Exchange* best = nullptr;
+    double least = 0;
+    for (Exchange* tandem : exchanges_) {
+      if (tandem == session.destination || tandem->own || tried(session, *tandem)) continue;
+      if (data_.pools && !skilled(session, *tandem)) continue;
+      if (!hasRoom(session, *tandem) || !fit(session, *tandem)) continue;
+      const double add = share(session, *tandem);
+      const double far = data_.pools ? 0 : farShare(*tandem, *session.destination);
+      if (busyShare(*tandem) + add > kCap || (!data_.pools && far + add > kCap)) continue;
+      const double price = cost(busyShare(*tandem), add) + (data_.pools ? 0 : cost(far, add));
+      if (best != nullptr && price >= least) continue;
+      best = tandem;
+      least = price;
+    }
+    return best;
+  }
+
+  bool skilled(const Session& session, const Exchange& pool) const {
+    const auto& pools = session.service->pools;
+    return pools.empty() || std::find(pools.begin(), pools.end(), pool.place) != pools.end();
+  }
+
+  static bool tried(const Session& session, const Exchange& exchange) {
+    return std::find(session.tried.begin(), session.tried.end(), &exchange) != session.tried.end();
+  }
+
+  // ---- Acting on a session -----------------------------------------------------------------------------
+
+  // The only place that sends. Rules 2 to 5 are checked here whatever led to it.
+  bool invite(Session& session, Exchange& to) {
+    if (session.over || session.ringingAt != nullptr || session.invites >= data_.maxInvites) return false;
+    if (now_ < session.due || now_ >= session.timerLimit) return false;
+    if (to.readiness != Readiness::ready || to.own) return false;
+    if (session.transit && &to != session.destination) return false;
+    if (!withinColdPart(to)) return false;
+    if (&to != session.destination && !data_.pools && !withinColdPart(*session.destination)) return false;
+    if (own_ != nullptr && !withinColdPart(*own_)) return false;
+    to.sent.add(now_, now_);
+    if (&to != session.destination && !data_.pools) session.destination->sent.add(now_, now_);
+    if (own_ != nullptr) own_->sent.add(now_, now_);
+    ++session.invites;
+    session.ringingAt = &to;
+    session.sentAt = now_;
+    session.tried.push_back(&to);
+    to.ringing.push_back(&session);
+    to.freeCircuits -= session.width;
+    if (condemned(to)) to.lastTrial = now_;
+    writer_->invite(session, to, patience(session, to));
+    return true;
+  }
+
+  // The only place that gives a final answer; it is given at once.
+  void refuse(Session& session, Span retryAfter) {
+    if (session.over) return;
+    session.over = true;
+    if (session.mayHaveRun && !session.service->repeatable) return writer_->surrender(session);
+    writer_->busy(session, data_.takesRetryAfter ? std::min(retryAfter, data_.longestRetryAfter) : Span::none());
+  }
+
+  Span comeBack() const { return data_.longestRetryAfter; }
+
+  Instant targetOf(const Session& session) const {
+    return std::min(session.taken + session.service->postDialTarget, session.timerLimit);
+  }
+
+  // An INVITE is given up when it can no longer earn the full value: what is late earns little and its
+  // work is the next session's wait.
+  Span patience(const Session& session, const Exchange&) const {
+    const Instant end = session.transit ? session.timerLimit : targetOf(session);
+    return std::max(end - now_, Span::ms(1));
+  }
+
+  // ---- Health ------------------------------------------------------------------------------------------
+
+  void learn(const Session& session, Exchange& at, Ending ending, Reason reason, bool farProcessor,
+             Span toldWait) {
+    switch (ending) {
+      case Ending::ok:
+      case Ending::fault:
+        judge(session, at, true);
+        if (reason == Reason::lineBusy) busyNumbers_[session.dialledNumber] = now_;
+        break;
+      case Ending::full:
+        judge(session, at, true);
+        if (reason == Reason::turnedBack && !farProcessor) at.turnedBack[session.destination] = now_;
+        if (reason == Reason::turnedBack && farProcessor) hold(*session.destination, Span::none());
+        if (reason == Reason::processorFull) hold(at, toldWait);
+        break;
+      case Ending::timedOut:
+      case Ending::unreachable:
+        judge(session, at, false);
+        break;
+      default:
+        break;
+    }
+  }
+
+  void hold(Exchange& at, Span toldWait) {
+    // A processor that is full says how long; where it does not, one clear-wait lets its line move.
+    at.heldUntil = std::max(at.heldUntil, now_ + std::max(toldWait, data_.clearWait));
+  }
+
+  void judge(const Session& session, Exchange& at, bool answered) {
+    if (!answered && session.destination != &at && !data_.pools) {
+      // Silence behind a tandem is laid at the tandem's door only if the destination is not the silent one.
+      if (condemned(*session.destination)) return;
+    }
+    at.answered.add(now_, answered);
+    if (own_ != nullptr && own_ != &at) own_->answered.add(now_, answered);
+  }
+
+  // Page's CUSUM over the last outcomes: a sound exchange leaves 1 INVITE in 20 unanswered, a sick one 4 in 5.
+  static bool condemned(const Exchange& exchange) {
+    static const double good = std::log(0.2 / 0.95);
+    static const double bad = std::log(0.8 / 0.05);
+    double sum = 0;
+    for (std::size_t i = 0; i < exchange.answered.size(); ++i) {
+      sum = std::max(0.0, sum + (exchange.answered[i].value ? good : bad));
+    }
+    return sum > kThreshold;
+  }
+  // Two silent INVITEs in a row condemn, one never does.
+  static constexpr double kThreshold = 4.0;
+
+  bool fit(const Session& session, const Exchange& at) const {
+    if (at.readiness != Readiness::ready) return false;
+    if (now_ < at.heldUntil) return false;
+    if (condemned(at) && !trialDue(session, at)) return false;
+    if (own_ != nullptr && condemned(*own_) && !trialDue(session, *own_)) return false;
+    const Span left = targetOf(session) - now_;
+    const bool twoLegs = !session.transit && &at != session.destination && !data_.pools;
+    const double part = patienceShare(session) * (twoLegs ? 0.5 : 1.0);
+    return expectedDelay(at) <= left * part;
+  }
+
+  bool trialDue(const Session& session, const Exchange& at) const {
+    return at.ringing.empty() && now_ - at.lastTrial >= session.service->postDialTarget;
+  }
+
+  // ---- Processors --------------------------------------------------------------------------------------
+
+  double worth(const Session& session) const { return session.service->value; }
+
+  // Share of the post-dial target that an expected delay may take: the dearer the session against the usual
+  // one, the more, so that a pressed processor is left to the dearer ones.
+  double patienceShare(const Session& session) const {
+    double sum = 0;
+    for (std::size_t i = 0; i < offered_.size(); ++i) sum += offered_[i].value;
+    const double usual = offered_.size() > 0 ? sum / static_cast<double>(offered_.size()) : worth(session);
+    return worth(session) / (worth(session) + usual);
+  }
+
+  Span expectedDelay(const Exchange& at) const {
+    Span delay = std::max(quantile(at.postDialDelays, 0.5), quantile(delays_, 0.25));
+    if (!at.ringing.empty()) delay = std::max(delay, now_ - at.ringing.front()->sentAt);
+    return delay;
+  }
+
+  // Samples older than this tell of another state of the processor. About the longest post-dial target.
+  static constexpr Span kFresh = Span::ms(2000);
+
+  template <std::size_t N>
+  Span quantile(const Samples<Span, N>& samples, double at) const {
+    std::vector<Span> fresh;
+    for (std::size_t i = 0; i < samples.size(); ++i) {
+      if (now_ - samples[i].at <= kFresh) fresh.push_back(samples[i].value);
+    }
+    if (fresh.empty()) return Span::none();
+    std::sort(fresh.begin(), fresh.end());
+    return fresh[static_cast<std::size_t>(at * static_cast<double>(fresh.size() - 1))];
+  }
+
+  // ---- Cold starts -------------------------------------------------------------------------------------
+
+  // This office's part of what a cold processor can take. Every office knows only its own rate; an exchange
+  // that bears the usual load gets that rate over the number of others from each, and as much again of its own.
+  bool withinColdPart(const Exchange& to) const {
+    if (now_ - to.started >= data_.warmAfter) return true;
+    double others = 0;
+    for (const Exchange* exchange : exchanges_) {
+      if (exchange->readiness == Readiness::ready && !exchange->own) ++others;
+    }
+    const double parts = to.own ? 1.0 : std::max(1.0, others);
+    // Three quarters: the rest is for redials and for sessions in transit, which others count as theirs.
+    const double part = 0.75 * data_.coldFrom * data_.fallMultiple * rate() / parts * data_.tipAfter.ms() / 1000;
+    double sent = 0;
+    for (std::size_t i = 0; i < to.sent.size(); ++i) sent += now_ - to.sent[i].at <= data_.tipAfter;
+    return sent < std::max(1.0, part);
+  }
+
+  double rate() const {
+    if (offered_.size() < 2) return 0;
+    const Span over = now_ - offered_[0].at;
+    return over > Span::none() ? 1000.0 * static_cast<double>(offered_.size()) / over.ms() : 0;
+  }
+
+  // ---- Alarms and the directory ------------------------------------------------------------------------
+
+  void wakeForTheNext() {
+    Instant next = data_.mustSubscribe ? askAt_ : Instant::never();
+    for (const Session* session : waiting_) next = std::min(next, session->due);
+    if (next >= Instant::never() || (wakeAt_ > now_ && wakeAt_ <= next)) return;
+    wakeAt_ = next;
+    writer_->wakeIn(std::max(next - now_, Span::ms(1)));
+  }
+
+  void subscribe() {
+    writer_->subscribe();
+    askAt_ = Instant::never();
+  }
+
+  const OfficeData& data_;
+  std::ranlux24_base chance_;
+  Instant now_;
+  Writer* writer_ = nullptr;
+  std::vector<Exchange*> exchanges_;  // in the order they were first listed
+  Exchange* own_ = nullptr;
+  std::vector<Session*> waiting_;
+  Samples<double, 64> offered_;  // values of the sessions that subscribers of this office dialled
+  Samples<Span, 16> delays_;     // post-dial delays, wherever they went
+  std::unordered_map<std::uint64_t, Instant> busyNumbers_;
+  Instant askAt_ = Instant::longAgo();
+  Instant wakeAt_ = Instant::longAgo();
+};
+
+}  // namespace
+
+std::unique_ptr<Controller> openOffice(const OfficeData& data, std::uint64_t seed) {
+  return std::make_unique<Rules>(data, seed);
+}
+
+}  // namespace thistlefold
