Know a redial by its number and owe it only what is left of its post-dial target

Cause: redials past the post-dial target earn the late value only, yet were admitted like fresh sessions and took circuits and processor work from those that could still earn their full value. Could hurt where many callers share one number and office at once.

--- a/include/thistlefold/session.hpp
+++ b/include/thistlefold/session.hpp
@@ -23,7 +23,7 @@
   bool redialled = false;
   bool wasCut = false;
 
-  Instant taken;
+  Instant dialled;  // when the first try for it came
   Instant due;  // when it is to be looked at next
   bool over = false;
   bool standing = false;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -72,10 +72,10 @@
   void probed(Exchange& exchange, bool) override { exchange.probing = false; }
 
   void incoming(Session& session) override {
-    session.taken = now_;
+    session.dialled = session.transit ? now_ : firstDialled(session);
     session.due = now_;
     waiting_.push_back(&session);
-    if (!session.transit) offered_.add(now_, session.service->value);
+    if (!session.transit) offered_.add(now_, worth(session));
   }
 
   void accepted(Session& session, Span postDialDelay) override {
@@ -234,6 +234,7 @@
   void refuse(Session& session, Span retryAfter) {
     if (session.over) return;
     session.over = true;
+    if (!session.transit) refused_.push_back({session.dialledNumber, session.service, session.dialled});
     if (session.mayHaveRun && !session.service->repeatable) return writer_->surrender(session);
     writer_->busy(session, data_.takesRetryAfter ? std::min(retryAfter, data_.longestRetryAfter) : Span::none());
   }
@@ -241,7 +242,23 @@
   Span comeBack() const { return data_.longestRetryAfter; }
 
   Instant targetOf(const Session& session) const {
-    return std::min(session.taken + session.service->postDialTarget, session.timerLimit);
+    const Instant target = session.dialled + session.service->postDialTarget;
+    return now_ < target ? std::min(target, session.timerLimit) : session.timerLimit;
+  }
+
+  // Callers redial by themselves and are seldom marked, and a redial is owed what is left of its first try's
+  // post-dial target. It is known by the number that this office refused lately for the same service; one
+  // refusal is matched by one redial. Guards against late redials crowding out sessions that can still
+  // earn their full value. At a mass-called number it may take one caller for another: both wait there.
+  Instant firstDialled(const Session& session) {
+    std::erase_if(refused_, [&](const Refused& was) { return now_ - was.dialled > was.service->timerLimit; });
+    const auto was = std::find_if(refused_.begin(), refused_.end(), [&](const Refused& one) {
+      return one.number == session.dialledNumber && one.service == session.service;
+    });
+    if (session.wasCut || was == refused_.end()) return now_;
+    const Instant dialled = was->dialled;
+    refused_.erase(was);
+    return dialled;
   }
 
   // An INVITE is given up when it can no longer earn the full value: what is late earns little and its
@@ -308,7 +325,7 @@
     if (now_ < at.heldUntil) return false;
     if (condemned(at) && !trialDue(session, at)) return false;
     if (own_ != nullptr && condemned(*own_) && !trialDue(session, *own_)) return false;
-    const Span left = targetOf(session) - now_;
+    const Span left = std::min(targetOf(session) - now_, session.service->postDialTarget);
     const bool twoLegs = !session.transit && &at != session.destination && !data_.pools;
     const double part = patienceShare(session) * (twoLegs ? 0.5 : 1.0);
     return expectedDelay(at) <= left * part;
@@ -320,7 +337,10 @@
 
   // ---- Processors --------------------------------------------------------------------------------------
 
-  double worth(const Session& session) const { return session.service->value; }
+  double worth(const Session& session) const {
+    const Service& service = *session.service;
+    return now_ < session.dialled + service.postDialTarget ? service.value : service.value * service.lateValue;
+  }
 
   // Share of the post-dial target that an expected delay may take: the dearer the session against the usual
   // one, the more, so that a pressed processor is left to the dearer ones.
@@ -399,6 +419,12 @@
   std::vector<Session*> waiting_;
   Samples<double, 64> offered_;  // values of the sessions that subscribers of this office dialled
   Samples<Span, 16> delays_;     // post-dial delays, wherever they went
+  struct Refused {
+    std::uint64_t number;
+    const Service* service;
+    Instant dialled;
+  };
+  std::vector<Refused> refused_;
   std::unordered_map<std::uint64_t, Instant> busyNumbers_;
   Instant askAt_ = Instant::longAgo();
   Instant wakeAt_ = Instant::longAgo();
