Tell callers that met busy circuits to come back within their target

Cause: every refusal asked for the longest wait, so redials came past the post-dial target and earned little. Also helps wherever a refusal's cause passes soon. Could hurt where the refusing work itself is the scarce thing.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -138,7 +138,7 @@
       if (invite(session, *tandem)) return;
       session.tried.push_back(tandem);
     }
-    refuse(session, comeBack());
+    refuse(session, comeBackSoon(session));
   }
 
   void carry(Session& session) {
@@ -239,6 +239,12 @@
     writer_->busy(session, data_.takesRetryAfter ? std::min(retryAfter, data_.longestRetryAfter) : Span::none());
   }
 
+  // A caller that found circuits busy can still be served in time if it is back before its target is up.
+  Span comeBackSoon(const Session& session) const {
+    const Span left = session.dialled + session.service->postDialTarget - now_;
+    return left > Span::none() ? left * 0.4 : data_.longestRetryAfter;
+  }
+
   Span comeBack() const { return data_.longestRetryAfter; }
 
   Instant targetOf(const Session& session) const {
