--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -17,11 +17,12 @@
 class Rules final : public Controller {
  public:
   Rules(const OfficeData& data, std::uint64_t seed)
-      : data_(data), chance_(static_cast<std::ranlux24_base::result_type>(seed ^ (seed >> 24))) {}
+      : data_(data), limits_(data.services.size()), chance_(static_cast<std::ranlux24_base::result_type>(seed ^ (seed >> 24))) {}
 
   void round(Instant now, Arrivals& arrivals, Writer& writer) override {
     now_ = now;
     writer_ = &writer;
+    lateBy_ = beatAt_ == Instant::longAgo() || now_ < beatAt_ + kBeat ? Span::none() : now_ - beatAt_;
     if (data_.mustSubscribe && askAt_ <= now_) subscribe();
     arrivals.deliver(*this);
     if (data_.mustSubscribe && askAt_ <= now_) subscribe();
@@ -38,6 +39,12 @@
     wakeForTheNext();
   }
 
+  // The office asks for a beat of its own and so notices when it has not been run for a while. What comes in
+  // with a late round lay waiting here, not at an exchange: neither delays nor silence in it are evidence, and
+  // its sessions were dialled earlier. Guards against stalls of the host, long collections, clock steps; could
+  // hurt only if alarms alone came late. A beat well above a round and well below any post-dial target.
+  static constexpr Span kBeat = Span::ms(100);
+
   void listed(Exchange& exchange, Readiness readiness, Instant started) override {
     if (std::find(exchanges_.begin(), exchanges_.end(), &exchange) == exchanges_.end()) {
       exchanges_.push_back(&exchange);
@@ -74,6 +81,14 @@
   void incoming(Session& session) override {
     session.dialled = session.transit ? now_ : firstDialled(session);
     session.due = now_;
+    const Span limit = session.timerLimit - now_;
+    if (!session.transit && session.dialled == now_) {
+      auto& limits = limits_[static_cast<std::size_t>(session.service - data_.services.data())];
+      if (lateBy_ == Span::none()) limits.add(now_, limit);
+      Span usual;
+      for (std::size_t i = 0; i < limits.size(); ++i) usual = std::max(usual, limits[i].value);
+      session.dialled = now_ - std::clamp(usual - limit, Span::none(), lateBy_);
+    }
     waiting_.push_back(&session);
     if (!session.transit) offered_.add(now_, worth(session));
   }
@@ -84,6 +99,7 @@
     if (at == nullptr) return;
     std::erase(at->ringing, &session);
     judge(session, *at, true);
+    if (lateBy_ > Span::none()) return;
     if (at == session.destination) at->postDialDelays.add(now_, postDialDelay);
     delays_.add(now_, postDialDelay);
   }
@@ -309,6 +325,7 @@
       // Silence behind a tandem is laid at the tandem's door only if the destination is not the silent one.
       if (condemned(*session.destination)) return;
     }
+    if (!answered && lateBy_ > Span::none()) return;
     at.answered.add(now_, answered);
     if (own_ != nullptr && own_ != &at) own_->answered.add(now_, answered);
   }
@@ -404,9 +421,10 @@
   // ---- Alarms and the directory ------------------------------------------------------------------------
 
   void wakeForTheNext() {
-    Instant next = data_.mustSubscribe ? askAt_ : Instant::never();
+    beatAt_ = now_ + kBeat;
+    Instant next = data_.mustSubscribe ? std::min(askAt_, beatAt_) : beatAt_;
     for (const Session* session : waiting_) next = std::min(next, session->due);
-    if (next >= Instant::never() || (wakeAt_ > now_ && wakeAt_ <= next)) return;
+    if (wakeAt_ > now_ && wakeAt_ <= next) return;
     wakeAt_ = next;
     writer_->wakeIn(std::max(next - now_, Span::ms(1)));
   }
@@ -417,6 +435,7 @@
   }
 
   const OfficeData& data_;
+  std::vector<Samples<Span, 16>> limits_;  // by service: what callers' own timer limits lately were
   std::ranlux24_base chance_;
   Instant now_;
   Writer* writer_ = nullptr;
@@ -434,6 +453,8 @@
   std::unordered_map<std::uint64_t, Instant> busyNumbers_;
   Instant askAt_ = Instant::longAgo();
   Instant wakeAt_ = Instant::longAgo();
+  Instant beatAt_ = Instant::longAgo();
+  Span lateBy_;
 };
 
 }  // namespace
