Judge an exchange as tandem and as destination by separate outcomes

Cause: INVITEs that died at a stalled tandem's office condemned its processor for direct sessions too.

--- a/include/thistlefold/exchange.hpp
+++ b/include/thistlefold/exchange.hpp
@@ -24,7 +24,8 @@
   double circuits = -1;     // below zero: not told yet
   std::unordered_map<const Exchange*, Instant> turnedBack;  // by destination; looked up, never walked
 
-  Samples<bool, 12> answered;       // outcomes: answered in any way, or not
+  Samples<bool, 12> answered;       // outcomes as a destination: answered in any way, or not
+  Samples<bool, 12> relayed;        // outcomes as a tandem
   Samples<Span, 8> postDialDelays;  // of sessions that stood
   Samples<Instant, 64> sent;        // INVITEs that went to or through it
   Samples<double, 4> canTake;       // reported: set-ups a second from all senders
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -53,6 +53,7 @@
     if (readiness == Readiness::ready && (exchange.readiness != readiness || started > exchange.started)) {
       // Another processor than the one that was judged.
       exchange.answered.clear();
+      exchange.relayed.clear();
       exchange.postDialDelays.clear();
       exchange.heldUntil = Instant::longAgo();
     }
@@ -241,7 +242,7 @@
     session.tried.push_back(&to);
     to.ringing.push_back(&session);
     to.freeCircuits -= session.width;
-    if (condemned(to)) to.lastTrial = now_;
+    if (condemned(to.answered) || condemned(to.relayed)) to.lastTrial = now_;
     writer_->invite(session, to, patience(session, to));
     return true;
   }
@@ -320,23 +321,23 @@
     at.heldUntil = std::max(at.heldUntil, now_ + std::max(toldWait, data_.clearWait));
   }
 
+  // The processor of a destination and the office behind a tandem fail apart, so each is judged by its own
+  // outcomes. Silence behind a tandem is laid at its door only while the destination is not the silent one.
   void judge(const Session& session, Exchange& at, bool answered) {
-    if (!answered && session.destination != &at && !data_.pools) {
-      // Silence behind a tandem is laid at the tandem's door only if the destination is not the silent one.
-      if (condemned(*session.destination)) return;
-    }
     if (!answered && lateBy_ > Span::none()) return;
-    at.answered.add(now_, answered);
+    const bool twoLegs = session.destination != &at && !data_.pools;
+    if (twoLegs && !answered && condemned(session.destination->answered)) return;
+    (twoLegs ? at.relayed : at.answered).add(now_, answered);
     if (own_ != nullptr && own_ != &at) own_->answered.add(now_, answered);
   }
 
   // Page's CUSUM over the last outcomes: a sound exchange leaves 1 INVITE in 20 unanswered, a sick one 4 in 5.
-  static bool condemned(const Exchange& exchange) {
+  static bool condemned(const Samples<bool, 12>& outcomes) {
     static const double good = std::log(0.2 / 0.95);
     static const double bad = std::log(0.8 / 0.05);
     double sum = 0;
-    for (std::size_t i = 0; i < exchange.answered.size(); ++i) {
-      sum = std::max(0.0, sum + (exchange.answered[i].value ? good : bad));
+    for (std::size_t i = 0; i < outcomes.size(); ++i) {
+      sum = std::max(0.0, sum + (outcomes[i].value ? good : bad));
     }
     return sum > kThreshold;
   }
@@ -346,10 +347,10 @@
   bool fit(const Session& session, const Exchange& at) const {
     if (at.readiness != Readiness::ready) return false;
     if (now_ < at.heldUntil) return false;
-    if (condemned(at) && !trialDue(session, at)) return false;
-    if (own_ != nullptr && condemned(*own_) && !trialDue(session, *own_)) return false;
-    const Span left = std::min(targetOf(session) - now_, session.service->postDialTarget);
     const bool twoLegs = !session.transit && &at != session.destination && !data_.pools;
+    if ((condemned(at.answered) || (twoLegs && condemned(at.relayed))) && !trialDue(session, at)) return false;
+    if (own_ != nullptr && condemned(own_->answered) && !trialDue(session, *own_)) return false;
+    const Span left = std::min(targetOf(session) - now_, session.service->postDialTarget);
     const double part = patienceShare(session) * (twoLegs ? 0.5 : 1.0);
     return expectedDelay(at) <= left * part;
   }
