Count INVITEs under way as a queue at the office's own processor

Cause: after a stall, a mass return or a burst, many sessions were sent at once before any delay could be seen; they queued at the own processor past every target. The shortest delay seen prices one set-up. Also guards against slow own processors. Could hurt where offices have many lines: the estimate takes one.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -98,7 +98,7 @@
     session.standing = true;
     Exchange* at = session.ringingAt;
     if (at == nullptr) return;
-    std::erase(at->ringing, &session);
+    if (std::erase(at->ringing, &session) > 0) --ringing_;
     judge(session, *at, true);
     if (lateBy_ > Span::none()) return;
     if (at == session.destination) at->postDialDelays.add(now_, postDialDelay);
@@ -107,7 +107,7 @@
 
   void ended(Session& session, Exchange& at, Ending ending, Reason reason, bool farProcessor, Span toldWait,
              bool final) override {
-    std::erase(at.ringing, &session);
+    if (std::erase(at.ringing, &session) > 0) --ringing_;
     session.ringingAt = nullptr;
     const bool stood = session.standing;
     session.standing = false;
@@ -241,6 +241,7 @@
     session.sentAt = now_;
     session.tried.push_back(&to);
     to.ringing.push_back(&session);
+    ++ringing_;
     to.freeCircuits -= session.width;
     if (condemned(to.answered) || condemned(to.relayed)) to.lastTrial = now_;
     writer_->invite(session, to, patience(session, to));
@@ -377,6 +378,13 @@
 
   Span expectedDelay(const Exchange& at) const {
     Span delay = std::max(quantile(at.postDialDelays, 0.5), quantile(delays_, 0.25));
+    // What this office has under way passes its own processor first. A set-up, its answer and its release at
+    // both ends make up the shortest delay seen, so a third of that is about one set-up at one processor.
+    Span shortest = Span::none();
+    for (std::size_t i = 0; i < delays_.size(); ++i) {
+      shortest = i == 0 ? delays_[i].value : std::min(shortest, delays_[i].value);
+    }
+    delay = std::max(delay, shortest * (1.0 + static_cast<double>(ringing_) / 3.0));
     if (!at.ringing.empty()) delay = std::max(delay, now_ - at.ringing.front()->sentAt);
     return delay;
   }
@@ -453,6 +461,7 @@
   std::vector<Refused> refused_;
   std::unordered_map<std::uint64_t, Instant> busyNumbers_;
   Instant askAt_ = Instant::longAgo();
+  std::size_t ringing_ = 0;      // INVITEs out that have not stood yet
   Instant wakeAt_ = Instant::longAgo();
   Instant beatAt_ = Instant::longAgo();
   Span lateBy_;
