--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -325,11 +325,22 @@
   // The processor of a destination and the office behind a tandem fail apart, so each is judged by its own
   // outcomes. Silence behind a tandem is laid at its door only while the destination is not the silent one.
   void judge(const Session& session, Exchange& at, bool answered) {
-    if (!answered && lateBy_ > Span::none()) return;
+    if (!answered && (lateBy_ > Span::none() || answeredSince(at, session.sentAt))) return;
     const bool twoLegs = session.destination != &at && !data_.pools;
     if (twoLegs && !answered && condemned(session.destination->answered)) return;
     (twoLegs ? at.relayed : at.answered).add(now_, answered);
-    if (own_ != nullptr && own_ != &at) own_->answered.add(now_, answered);
+    if (own_ != nullptr && own_ != &at && (answered || !answeredSince(*own_, session.sentAt))) {
+      own_->answered.add(now_, answered);
+    }
+  }
+
+  // Who answers others in the meantime is slow, not silent: that is for the delays to tell. Guards against
+  // condemning everyone after a rush that this office made itself.
+  static bool answeredSince(const Exchange& at, Instant sent) {
+    for (std::size_t i = at.answered.size(); i-- > 0 && at.answered[i].at > sent;) {
+      if (at.answered[i].value) return true;
+    }
+    return false;
   }
 
   // Page's CUSUM over the last outcomes: a sound exchange leaves 1 INVITE in 20 unanswered, a sick one 4 in 5.
