Let delays seen fade as a line that nobody adds to gets shorter

Cause: after a rush the delays of its peak held everyone back for two seconds though the line was empty again.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -403,11 +403,15 @@
   // Samples older than this tell of another state of the processor. About the longest post-dial target.
   static constexpr Span kFresh = Span::ms(2000);
 
+  // A line that nobody adds to gets shorter by as much as goes by; half of that, as others go on sending.
+  static constexpr double kDrain = 0.5;
+
   template <std::size_t N>
   Span quantile(const Samples<Span, N>& samples, double at) const {
     std::vector<Span> fresh;
     for (std::size_t i = 0; i < samples.size(); ++i) {
-      if (now_ - samples[i].at <= kFresh) fresh.push_back(samples[i].value);
+      const Span age = now_ - samples[i].at;
+      if (age <= kFresh) fresh.push_back(std::max(samples[i].value - age * kDrain, Span::none()));
     }
     if (fresh.empty()) return Span::none();
     std::sort(fresh.begin(), fresh.end());
