Price two thirds of the shortest delay for each INVITE under way

Cause: answers and releases pass the own processor too, a third of the shortest delay let rushes through.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -390,12 +390,12 @@
   Span expectedDelay(const Exchange& at) const {
     Span delay = std::max(quantile(at.postDialDelays, 0.5), quantile(delays_, 0.25));
     // What this office has under way passes its own processor first. A set-up, its answer and its release at
-    // both ends make up the shortest delay seen, so a third of that is about one set-up at one processor.
+    // both ends make up the shortest delay seen, so two thirds of that pass through it for each.
     Span shortest = Span::none();
     for (std::size_t i = 0; i < delays_.size(); ++i) {
       shortest = i == 0 ? delays_[i].value : std::min(shortest, delays_[i].value);
     }
-    delay = std::max(delay, shortest * (1.0 + static_cast<double>(ringing_) / 3.0));
+    delay = std::max(delay, shortest * (1.0 + static_cast<double>(ringing_) * 2.0 / 3.0));
     if (!at.ringing.empty()) delay = std::max(delay, now_ - at.ringing.front()->sentAt);
     return delay;
   }
