--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -145,7 +145,8 @@
 
   void place(Session& session) {
     Exchange& destination = *session.destination;
-    if (!data_.pools && !fit(session, destination)) return refuse(session, comeBack());
+    if (!data_.pools && !sound(session, destination)) return refuse(session, comeBack());
+    if (!data_.pools && pressed(session, destination)) return refuse(session, comeBackSoon(session));
     const bool direct = !data_.pools || (fit(session, destination) && !tried(session, destination));
     if (direct && hasRoom(session, destination)) {
       if (invite(session, destination)) return;
@@ -326,9 +327,9 @@
   // outcomes. Silence behind a tandem is laid at its door only while the destination is not the silent one.
   void judge(const Session& session, Exchange& at, bool answered) {
     if (!answered && (lateBy_ > Span::none() || answeredSince(at, session.sentAt))) return;
-    const bool twoLegs = session.destination != &at && !data_.pools;
-    if (twoLegs && !answered && condemned(session.destination->answered)) return;
-    (twoLegs ? at.relayed : at.answered).add(now_, answered);
+    const bool relay = twoLegs(session, at);
+    if (relay && !answered && condemned(session.destination->answered)) return;
+    (relay ? at.relayed : at.answered).add(now_, answered);
     if (own_ != nullptr && own_ != &at && (answered || !answeredSince(*own_, session.sentAt))) {
       own_->answered.add(now_, answered);
     }
@@ -357,14 +358,25 @@
   static constexpr double kThreshold = 4.0;
 
   bool fit(const Session& session, const Exchange& at) const {
-    if (at.readiness != Readiness::ready) return false;
-    if (now_ < at.heldUntil) return false;
-    const bool twoLegs = !session.transit && &at != session.destination && !data_.pools;
-    if ((condemned(at.answered) || (twoLegs && condemned(at.relayed))) && !trialDue(session, at)) return false;
-    if (own_ != nullptr && condemned(own_->answered) && !trialDue(session, *own_)) return false;
+    return sound(session, at) && !pressed(session, at);
+  }
+
+  bool sound(const Session& session, const Exchange& at) const {
+    if (at.readiness != Readiness::ready || now_ < at.heldUntil) return false;
+    const bool sick = condemned(at.answered) || (twoLegs(session, at) && condemned(at.relayed));
+    if (sick && !trialDue(session, at)) return false;
+    return own_ == nullptr || !condemned(own_->answered) || trialDue(session, *own_);
+  }
+
+  bool pressed(const Session& session, const Exchange& at) const {
     const Span left = std::min(targetOf(session) - now_, session.service->postDialTarget);
-    const double part = patienceShare(session) * (twoLegs ? 0.5 : 1.0);
-    return expectedDelay(at) <= left * part;
+    // A two-leg session is work for a third processor, so it stands back first.
+    const double part = patienceShare(session) * (twoLegs(session, at) ? 0.5 : 1.0);
+    return expectedDelay(at) > left * part;
+  }
+
+  bool twoLegs(const Session& session, const Exchange& at) const {
+    return !session.transit && &at != session.destination && !data_.pools;
   }
 
   bool trialDue(const Session& session, const Exchange& at) const {
