--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -261,7 +261,7 @@
   // A caller that found circuits busy can still be served in time if it is back before its target is up.
   Span comeBackSoon(const Session& session) const {
     const Span left = session.dialled + session.service->postDialTarget - now_;
-    return left > Span::none() ? left * 0.4 : data_.longestRetryAfter;
+    return left > Span::none() ? left * 0.6 : data_.longestRetryAfter;
   }
 
   Span comeBack() const { return data_.longestRetryAfter; }
@@ -371,7 +371,7 @@
   bool pressed(const Session& session, const Exchange& at) const {
     const Span left = std::min(targetOf(session) - now_, session.service->postDialTarget);
     // A two-leg session is work for a third processor, so it stands back first.
-    const double part = patienceShare(session) * (twoLegs(session, at) ? 0.5 : 1.0);
+    const double part = patienceShare(session) * (twoLegs(session, at) ? 1.0 / 3.0 : 1.0);
     return expectedDelay(at) > left * part;
   }
 
@@ -402,12 +402,12 @@
   Span expectedDelay(const Exchange& at) const {
     Span delay = std::max(quantile(at.postDialDelays, 0.5), quantile(delays_, 0.25));
     // What this office has under way passes its own processor first. A set-up, its answer and its release at
-    // both ends make up the shortest delay seen, so two thirds of that pass through it for each.
+    // both ends make up the shortest delay seen, so this is the line of one who comes now.
     Span shortest = Span::none();
     for (std::size_t i = 0; i < delays_.size(); ++i) {
       shortest = i == 0 ? delays_[i].value : std::min(shortest, delays_[i].value);
     }
-    delay = std::max(delay, shortest * (1.0 + static_cast<double>(ringing_) * 2.0 / 3.0));
+    delay = std::max(delay, shortest * static_cast<double>(1 + ringing_));
     if (!at.ringing.empty()) delay = std::max(delay, now_ - at.ringing.front()->sentAt);
     return delay;
   }
