--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -124,7 +124,8 @@
         ending == Ending::timedOut || ending == Ending::reset || ending == Ending::cancelled;
     session.due = mayBeHeld ? now_ + data_.clearWait : now_;
     if (session.mayHaveRun && !session.service->repeatable) return refuse(session, comeBack());
-    if (session.due >= targetOf(session)) return refuse(session, comeBack());
+    const Instant target = session.dialled + session.service->postDialTarget;
+    if (session.due >= std::min(target, session.timerLimit)) return refuse(session, comeBack());
     if (reason == Reason::lineBusy) return refuse(session, comeBack());
     waiting_.push_back(&session);
   }
@@ -422,7 +423,7 @@
     for (std::size_t i = 0; i < delays_.size(); ++i) {
       shortest = i == 0 ? delays_[i].value : std::min(shortest, delays_[i].value);
     }
-    delay = std::max(delay, shortest * static_cast<double>(1 + ringing_));
+    delay = std::max(delay, shortest * static_cast<double>(ringing_));
     if (!at.ringing.empty()) delay = std::max(delay, now_ - at.ringing.front()->sentAt);
     return delay;
   }
@@ -467,7 +468,8 @@
 
   double rate() const {
     if (offered_.size() < 2) return 0;
-    const Span over = now_ - offered_[0].at;
+    // Over the tip window at least: the first few sessions after a start say nothing of a rate.
+    const Span over = std::max(now_ - offered_[0].at, data_.tipAfter);
     return over > Span::none() ? 1000.0 * static_cast<double>(offered_.size()) / over.ms() : 0;
   }
 
