--- a/include/thistlefold/office_data.hpp
+++ b/include/thistlefold/office_data.hpp
@@ -35,6 +35,7 @@
   bool takesRetryAfter = false;
   Span longestRetryAfter;
   Span clearWait;
+  Span repeatAfter;  // a set-up that waits is repeated after this; none: never
   double coldFrom = 0;
   Span warmAfter;
   double fallMultiple = 0;
--- a/src/drill/drill.cpp
+++ b/src/drill/drill.cpp
@@ -142,6 +142,7 @@
   data.takesRetryAfter = mark(caps, "RetryAfter");
   data.longestRetryAfter = Span::ms(number(caps, "MaxRetryAfter", 0));
   data.clearWait = Span::ms(number(family, "ClearWait", 0));
+  data.repeatAfter = Span::ms(number(family, "T1", 0));
   data.coldFrom = number(obligations, "ColdFrom", 0);
   data.warmAfter = Span::ms(number(obligations, "WarmAfter", 0));
   data.fallMultiple = number(obligations, "FallMultiple", 0);
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -383,7 +383,9 @@
   }
 
   bool pressed(const Session& session, const Exchange& at) const {
-    const Span left = std::min(targetOf(session) - now_, session.service->postDialTarget);
+    Span left = std::min(targetOf(session) - now_, session.service->postDialTarget);
+    // A set-up that waits longer than this is repeated, and each repeat is work for who waits already.
+    if (data_.repeatAfter > Span::none()) left = std::min(left, data_.repeatAfter);
     // A two-leg session is work for a third processor, so it stands back first.
     const double part = patienceShare(session) * (twoLegs(session, at) ? 1.0 / 3.0 : 1.0);
     return expectedDelay(at) > left * part;
@@ -468,8 +470,8 @@
 
   double rate() const {
     if (offered_.size() < 2) return 0;
-    // Over the tip window at least: the first few sessions after a start say nothing of a rate.
-    const Span over = std::max(now_ - offered_[0].at, data_.tipAfter);
+    // Over a quarter of the tip window at least: the first few sessions after a start say nothing of a rate.
+    const Span over = std::max(now_ - offered_[0].at, data_.tipAfter * 0.25);
     return over > Span::none() ? 1000.0 * static_cast<double>(offered_.size()) / over.ms() : 0;
   }
 
--- a/tests/runner.cpp
+++ b/tests/runner.cpp
@@ -161,6 +161,8 @@
       data_.maxInvites = static_cast<int>(number(words));
     } else if (verb == "clear-wait") {
       data_.clearWait = span(words);
+    } else if (verb == "repeat") {
+      data_.repeatAfter = span(words);
     } else if (verb == "retry-after") {
       data_.takesRetryAfter = true;
       data_.longestRetryAfter = span(words);
