--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -345,9 +345,6 @@
     const bool relay = twoLegs(session, at);
     if (relay && !answered && condemned(session.destination->answered)) return;
     (relay ? at.relayed : at.answered).add(now_, answered);
-    if (own_ != nullptr && own_ != &at && (answered || !answeredSince(*own_, session.sentAt))) {
-      own_->answered.add(now_, answered);
-    }
   }
 
   // Who answers others in the meantime is slow, not silent: that is for the delays to tell. Guards against
@@ -366,11 +363,12 @@
     static const double bad = std::log(0.8 / 0.05);
     double sum = 0;
     for (std::size_t i = 0; i < outcomes.size(); ++i) {
-      sum = std::max(0.0, sum + (outcomes[i].value ? good : bad));
+      sum = std::clamp(sum + (outcomes[i].value ? good : bad), 0.0, kThreshold + 1.0);
     }
     return sum > kThreshold;
   }
-  // Two silent INVITEs in a row condemn, one never does.
+  // Two silent INVITEs in a row condemn, one never does. The sum goes little past the threshold, so that the
+  // first answer acquits however long the silence was.
   static constexpr double kThreshold = 4.0;
 
   bool fit(const Session& session, const Exchange& at) const {
@@ -380,8 +378,7 @@
   bool sound(const Session& session, const Exchange& at) const {
     if (at.readiness != Readiness::ready || now_ < at.heldUntil) return false;
     const bool sick = condemned(at.answered) || (twoLegs(session, at) && condemned(at.relayed));
-    if (sick && !trialDue(session, at)) return false;
-    return own_ == nullptr || !condemned(own_->answered) || trialDue(session, *own_);
+    return !sick || trialDue(session, at);
   }
 
   bool pressed(const Session& session, const Exchange& at) const {
