--- a/include/thistlefold/controller.hpp
+++ b/include/thistlefold/controller.hpp
@@ -34,8 +34,6 @@
   virtual void listed(Exchange& exchange, Readiness readiness, Instant started) = 0;
   virtual void listFailed() = 0;
   virtual void circuits(Exchange& exchange, double free, double size) = 0;
-  virtual void canTake(Exchange& exchange, double setUpsPerSecond) = 0;
-  virtual void holdBack(Exchange& exchange, double share) = 0;
   virtual void incoming(Session& session) = 0;
   virtual void accepted(Session& session, Span postDialDelay) = 0;
   /// `farProcessor`: a turn-back because of the processor beyond. `toldWait`: none if none was named.
--- a/include/thistlefold/exchange.hpp
+++ b/include/thistlefold/exchange.hpp
@@ -28,8 +28,6 @@
   Samples<bool, 12> relayed;            // outcomes as a tandem
   Samples<Span, 8> postDialDelays;      // of sessions that stood
   Samples<Instant, 64> sent;            // INVITEs that went to or through it
-  Samples<double, 4> canTake;           // reported: set-ups a second from all senders
-  Samples<double, 4> holdBack;          // reported: share of set-ups to hold back
   std::vector<const Session*> ringing;  // INVITEs out, oldest first
   Instant heldUntil = Instant::longAgo();
   Instant lastTrial = Instant::longAgo();
--- a/include/thistlefold/office_data.hpp
+++ b/include/thistlefold/office_data.hpp
@@ -17,17 +17,9 @@
   std::vector<int> pools;  // places of the pools with the skill; empty: any
 };
 
-/// A customer whose sessions beyond its share are worth little.
-struct Subscriber {
-  double sharePerSecond = 0;
-};
-
 /// What one office is told when it is put into service.
 struct OfficeData {
   std::vector<Service> services;
-  std::vector<Subscriber> subscribers;
-  double overShareWorth = 1;
-  int offices = 1;
   bool pools = false;
   int maxInvites = 1;
   bool mustSubscribe = false;  // the directory tells only those who asked
--- a/include/thistlefold/session.hpp
+++ b/include/thistlefold/session.hpp
@@ -13,10 +13,8 @@
 /// A session taken by this office. The upper part is filled in at the door, the lower belongs to the module.
 struct Session {
   const Service* service = nullptr;
-  int subscriber = -1;
   double width = 1;
   Exchange* destination = nullptr;
-  Exchange* advised = nullptr;  // the centre's advice, if any
   Instant timerLimit;
   std::uint64_t dialledNumber = 0;
   bool transit = false;
--- a/src/drill/drill.cpp
+++ b/src/drill/drill.cpp
@@ -129,12 +129,6 @@
     }
     data.services.push_back(service);
   }
-  for (const Value& tenant : array(conf, "Tenants").GetArray()) {
-    if (!tenant.IsObject()) wrong("Tenants", "objects are wanted");
-    data.subscribers.push_back(Subscriber{number(tenant, "QuotaRps", 0)});
-  }
-  data.overShareWorth = number(conf, "OverShareWorth", 1);
-  data.offices = integer(conf, "ReplicasOfMe", 1);
   data.pools = name(family, "Topology", "mesh") == "pools";
   data.maxInvites = integer(caps, "MaxAttempts", 1);
   data.mustSubscribe = name(conf, "Discovery", "pushed") == "on_request";
@@ -311,10 +305,6 @@
   void feedback(Exchange& exchange, const Value& values) {
     const double size = number(values, "size", -1);
     if (size >= 0) controller_->circuits(exchange, number(values, "free", 0), size);
-    const double canTake = number(values, "can_take", -1);
-    if (canTake >= 0) controller_->canTake(exchange, canTake);
-    const double holdBack = number(values, "hold_back", -1);
-    if (holdBack >= 0) controller_->holdBack(exchange, holdBack);
   }
 
   void incoming(const Value& fields) {
@@ -325,13 +315,11 @@
       wrong("Category", "no such service");
     }
     session->service = &data_.services[static_cast<std::size_t>(category)];
-    session->subscriber = integer(fields, "ClientGroup", 0);
     session->width = number(fields, "Width", 1);
     session->destination = at(number(fields, "FarEnd", -1));
     const int bits = integer(fields, "Bits", 0);
     session->transit = (bits & 8) != 0;
     session->wasCut = (bits & 16) != 0;
-    if (!session->transit) session->advised = at(number(fields, "Through", -1));
     session->timerLimit = Instant::ms(number(fields, "Deadline"));
     const std::string_view item = name(fields, "Item", "0");
     const auto read = std::from_chars(item.data(), item.data() + item.size(), session->dialledNumber, 16);
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -73,12 +73,6 @@
     exchange.circuits = size;
   }
 
-  void canTake(Exchange& exchange, double setUpsPerSecond) override {
-    exchange.canTake.add(now_, setUpsPerSecond);
-  }
-
-  void holdBack(Exchange& exchange, double share) override { exchange.holdBack.add(now_, share); }
-
   void incoming(Session& session) override {
     session.dialled = session.transit ? now_ : firstDialled(session);
     session.due = now_;
