Count only INVITEs sent after the last answered one as the own processor's line

Cause: INVITEs that wait at slow or silent exchanges were counted as a line here and shut sessions to sound ones. Could hurt where an office has several processors.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -92,7 +92,8 @@
     session.standing = true;
     Exchange* at = session.ringingAt;
     if (at == nullptr) return;
-    if (std::erase(at->ringing, &session) > 0) --ringing_;
+    std::erase(at->ringing, &session);
+    leftOwnLine(session);
     judge(session, *at, true);
     if (lateBy_ > Span::none()) return;
     if (at == session.destination) at->postDialDelays.add(now_, postDialDelay);
@@ -101,7 +102,9 @@
 
   void ended(Session& session, Exchange& at, Ending ending, Reason reason, bool farProcessor, Span toldWait,
              bool final) override {
-    if (std::erase(at.ringing, &session) > 0) --ringing_;
+    std::erase(at.ringing, &session);
+    if (ending == Ending::full || ending == Ending::fault || ending == Ending::ok) leftOwnLine(session);
+    std::erase(ownLine_, &session);
     session.ringingAt = nullptr;
     const bool stood = session.standing;
     session.standing = false;
@@ -240,7 +243,7 @@
     session.sentAt = now_;
     session.tried.push_back(&to);
     to.ringing.push_back(&session);
-    ++ringing_;
+    ownLine_.push_back(&session);
     to.freeCircuits -= session.width;
     if (condemned(to.answered) || condemned(to.relayed)) to.lastTrial = now_;
     writer_->invite(session, to, patience(session, to));
@@ -410,6 +413,14 @@
     return worth(session) / (worth(session) + 2.0 * usual);
   }
 
+  // The own processor works in turn, so whoever was sent before one that was answered has passed it. Guards
+  // against INVITEs that wait at slow or silent exchanges being counted as a line here. Could hurt where an
+  // office has several processors.
+  void leftOwnLine(const Session& session) {
+    const auto it = std::find(ownLine_.begin(), ownLine_.end(), &session);
+    if (it != ownLine_.end()) ownLine_.erase(ownLine_.begin(), it + 1);
+  }
+
   Span expectedDelay(const Exchange& at) const {
     Span delay = std::max(quantile(at.postDialDelays, 0.5), quantile(delays_, 0.25));
     // What this office has under way passes its own processor first. A set-up, its answer and its release at
@@ -418,7 +429,7 @@
     for (std::size_t i = 0; i < delays_.size(); ++i) {
       shortest = i == 0 ? delays_[i].value : std::min(shortest, delays_[i].value);
     }
-    delay = std::max(delay, shortest * static_cast<double>(ringing_));
+    delay = std::max(delay, shortest * static_cast<double>(ownLine_.size()));
     if (!at.ringing.empty()) delay = std::max(delay, now_ - at.ringing.front()->sentAt);
     return delay;
   }
@@ -503,7 +514,7 @@
   std::vector<Refused> refused_;
   std::unordered_map<std::uint64_t, Instant> busyNumbers_;
   Instant askAt_ = Instant::longAgo();
-  std::size_t ringing_ = 0;  // INVITEs out that have not stood yet
+  std::vector<const Session*> ownLine_;  // INVITEs out that may not have passed the own processor yet
   Instant wakeAt_ = Instant::longAgo();
   Instant beatAt_ = Instant::longAgo();
   Span lateBy_;
