Let a far leg that never carried anything fade ten times slower

Cause: with many pairs without a group three of four two-leg INVITEs are turned back, and after two seconds the same missing leg is tried again.

--- a/include/thistlefold/exchange.hpp
+++ b/include/thistlefold/exchange.hpp
@@ -11,6 +11,12 @@
 
 enum class Readiness { ready, draining, gone };
 
+/// What this office has seen of the leg between a tandem and a destination.
+struct FarLeg {
+  Instant turnedBack = Instant::longAgo();
+  bool carried = false;  // a session stood over it
+};
+
 /// What this office has seen of one exchange. Plain state: only the module reads or changes it, but for
 /// `place` and `own`, which are set where the exchange is first listed.
 struct Exchange {
@@ -22,7 +28,7 @@
 
   double freeCircuits = 0;                                  // of the group between here and there
   double circuits = -1;                                     // below zero: not told yet
-  std::unordered_map<const Exchange*, Instant> turnedBack;  // by destination; looked up, never walked
+  std::unordered_map<const Exchange*, FarLeg> farLegs;      // by destination; looked up, never walked
 
   Samples<bool, 12> answered;           // outcomes as a destination: answered in any way, or not
   Samples<bool, 12> relayed;            // outcomes as a tandem
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -94,6 +94,7 @@
     if (at == nullptr) return;
     std::erase(at->ringing, &session);
     leftOwnLine(session);
+    if (twoLegs(session, *at)) at->farLegs[session.destination].carried = true;
     judge(session, *at, true);
     if (lateBy_ > Span::none()) return;
     if (at == session.destination) at->postDialDelays.add(now_, postDialDelay);
@@ -192,9 +193,10 @@
   }
 
   double farShare(const Exchange& tandem, const Exchange& destination) const {
-    const auto entry = tandem.turnedBack.find(&destination);
-    if (entry == tandem.turnedBack.end()) return 0;
-    return kCap * std::max(0.0, 1.0 - (now_ - entry->second) / kFading);
+    const auto entry = tandem.farLegs.find(&destination);
+    if (entry == tandem.farLegs.end()) return 0;
+    const FarLeg& leg = entry->second;
+    return kCap * std::max(0.0, 1.0 - (now_ - leg.turnedBack) / (leg.carried ? kFading : kFading * 10));
   }
 
   Exchange* cheapestTandem(const Session& session) const {
@@ -317,7 +319,7 @@
         break;
       case Ending::full:
         judge(session, at, true);
-        if (reason == Reason::turnedBack && !farProcessor) at.turnedBack[session.destination] = now_;
+        if (reason == Reason::turnedBack && !farProcessor) at.farLegs[session.destination].turnedBack = now_;
         if (reason == Reason::turnedBack && farProcessor) hold(*session.destination, Span::none());
         if (reason == Reason::processorFull) hold(at, toldWait);
         break;
