Thin out by lot where an exchange reports that it can take less than half of its best

Also holds against processors that come back weak; could hurt where reports tell of load rather than of ability.

--- a/include/thistlefold/controller.hpp
+++ b/include/thistlefold/controller.hpp
@@ -34,6 +34,8 @@
   virtual void listed(Exchange& exchange, Readiness readiness, Instant started) = 0;
   virtual void listFailed() = 0;
   virtual void circuits(Exchange& exchange, double free, double size) = 0;
+  /// What the far processor says it can take, in set-ups a second from all offices.
+  virtual void reported(Exchange& exchange, double canTake) = 0;
   virtual void incoming(Session& session) = 0;
   virtual void accepted(Session& session, Span postDialDelay) = 0;
   /// `farProcessor`: a turn-back because of the processor beyond. `toldWait`: none if none was named.
--- a/include/thistlefold/exchange.hpp
+++ b/include/thistlefold/exchange.hpp
@@ -33,6 +33,7 @@
   Samples<bool, 12> answered;           // outcomes as a destination: answered in any way, or not
   Samples<bool, 12> relayed;            // outcomes as a tandem
   Samples<Span, 8> postDialDelays;      // of sessions that stood
+  Samples<double, 16> canTake;          // set-ups a second that its processor said it can take
   Samples<Instant, 64> sent;            // INVITEs that went to or through it
   std::vector<const Session*> ringing;  // INVITEs out, oldest first
   Instant heldUntil = Instant::longAgo();
--- a/src/drill/drill.cpp
+++ b/src/drill/drill.cpp
@@ -305,6 +305,8 @@
   void feedback(Exchange& exchange, const Value& values) {
     const double size = number(values, "size", -1);
     if (size >= 0) controller_->circuits(exchange, number(values, "free", 0), size);
+    const double canTake = number(values, "can_take", -1);
+    if (canTake >= 0) controller_->reported(exchange, canTake);
   }
 
   void incoming(const Value& fields) {
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -57,6 +57,7 @@
       exchange.answered.clear();
       exchange.relayed.clear();
       exchange.postDialDelays.clear();
+      exchange.canTake.clear();
       exchange.heldUntil = Instant::longAgo();
     }
     exchange.readiness = readiness;
@@ -73,6 +74,8 @@
     exchange.circuits = size;
   }
 
+  void reported(Exchange& exchange, double canTake) override { exchange.canTake.add(now_, canTake); }
+
   void incoming(Session& session) override {
     session.dialled = session.transit ? now_ : firstDialled(session);
     const bool isRedial = session.dialled < now_;
@@ -149,6 +152,7 @@
     Exchange& destination = *session.destination;
     if (!data_.pools && !sound(session, destination)) return refuse(session, comeBack());
     if (!data_.pools && pressed(session, destination)) return refuse(session, comeBackSoon(session));
+    if (!data_.pools && lessThanUsual(session, destination)) return refuse(session, comeBackSoon(session));
     if (!data_.pools && !withinColdPart(session, destination)) return refuse(session, comeBackSoon(session));
     if (own_ != nullptr && !withinColdPart(session, *own_)) return refuse(session, comeBackSoon(session));
     if (linesBusy(session)) return refuse(session, comeBackSoon(session));
@@ -379,7 +383,19 @@
   static constexpr double kThreshold = 4.0;
 
   bool fit(const Session& session, const Exchange& at) const {
-    return sound(session, at) && !pressed(session, at);
+    return sound(session, at) && !pressed(session, at) && !lessThanUsual(session, at);
+  }
+
+  // Where exchanges report what they can take, one that fell below half of what it took at its best of late
+  // is thinned out by lot, and one that can take nothing gets nothing until the report is old. Answers of
+  // sessions that end there tell it long before delays or silence do to an office that seldom sends there.
+  // Guards against slow, ageing and hung processors; could hurt where reports tell of load, not of ability.
+  bool lessThanUsual(const Session& session, const Exchange& at) const {
+    if (at.canTake.size() == 0 || now_ - at.canTake.last().at > kFresh * 2) return false;
+    double usual = 0;
+    for (std::size_t i = 0; i < at.canTake.size(); ++i) usual = std::max(usual, at.canTake[i].value);
+    // At seven tenths a slowdown of all shut too many two-leg routes.
+    return at.canTake.last().value < 0.5 * usual * session.lot;
   }
 
   bool sound(const Session& session, const Exchange& at) const {
--- a/tests/runner.cpp
+++ b/tests/runner.cpp
@@ -255,6 +255,10 @@
       const double free = number(words);
       const double size = number(words);
       events_.push_back([&which, free, size](Controller& to) { to.circuits(which, free, size); });
+    } else if (verb == "can-take") {
+      Exchange& which = exchange(words);
+      const double rate = number(words);
+      events_.push_back([&which, rate](Controller& to) { to.reported(which, rate); });
     } else if (verb == "ready" || verb == "draining" || verb == "gone") {
       Exchange& which = exchange(words);
       const Instant started = verb == "ready" ? now_ : Instant::longAgo();
