--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -336,6 +336,12 @@
         if (reason == Reason::processorFull) hold(at, toldWait);
         break;
       case Ending::timedOut:
+        // A direct one waited at least as long as this at two processors, one of them the own; if it is the
+        // own, all are late, whatever the exchange. Guards against a slow processor here, and rushes this
+        // office made itself. One that went through a tandem may have met an office that stands still. Could
+        // hurt where many exchanges are silent at once and the office sends to few others.
+        if (lateBy_ == Span::none() && !twoLegs(session, at)) delays_.add(now_, now_ - session.sentAt);
+        [[fallthrough]];
       case Ending::unreachable:
         judge(session, at, false);
         break;
@@ -450,7 +456,8 @@
   }
 
   Span expectedDelay(const Exchange& at) const {
-    Span delay = std::max(quantile(at.postDialDelays, 0.5), quantile(delays_, 0.25));
+    // What is seen of all takes three, so that one slow or silent exchange does not shut the others.
+    Span delay = std::max(quantile(at.postDialDelays, 0.5, 1), quantile(delays_, 0.25, 3));
     // What this office has under way passes its own processor first. A set-up, its answer and its release at
     // both ends make up the shortest delay seen, so this is the line of one who comes now.
     Span shortest = Span::none();
@@ -469,13 +476,13 @@
   static constexpr double kDrain = 0.5;
 
   template <std::size_t N>
-  Span quantile(const Samples<Span, N>& samples, double at) const {
+  Span quantile(const Samples<Span, N>& samples, double at, std::size_t least) const {
     std::vector<Span> fresh;
     for (std::size_t i = 0; i < samples.size(); ++i) {
       const Span age = now_ - samples[i].at;
       if (age <= kFresh) fresh.push_back(std::max(samples[i].value - age * kDrain, Span::none()));
     }
-    if (fresh.empty()) return Span::none();
+    if (fresh.size() < least) return Span::none();
     std::sort(fresh.begin(), fresh.end());
     return fresh[static_cast<std::size_t>(at * static_cast<double>(fresh.size() - 1))];
   }
@@ -503,7 +510,9 @@
     const double parts = to.own ? 1.0 : std::max(1.0, others);
     double sent = 0;
     for (std::size_t i = 0; i < to.sent.size(); ++i) sent += now_ - to.sent[i].at <= data_.tipAfter;
-    if (sent >= std::max(1.0, budget / parts)) return false;
+    // Two where the part is less: callers do not dial in even steps, and one in a tip window turned a fifth
+    // away.
+    if (sent >= std::max(2.0, budget / parts)) return false;
     if (session.transit) return true;
     double dialled = 0;
     for (std::size_t i = 0; i < offered_.size(); ++i) {
