--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -145,6 +145,8 @@
   void decide(Session& session) {
     if (session.over) return;
     if (session.destination == nullptr || now_ >= session.timerLimit) return refuse(session, comeBack());
+    mayWait_ = mayWait(session);
+    everywhere_ = delayEverywhere();
     session.transit ? carry(session) : place(session);
   }
 
@@ -214,7 +216,7 @@
     for (Exchange* tandem : exchanges_) {
       if (tandem == session.destination || tandem->own || tried(session, *tandem)) continue;
       if (data_.pools && !skilled(session, *tandem)) continue;
-      if (!hasRoom(session, *tandem) || !fit(session, *tandem)) continue;
+      if (!hasRoom(session, *tandem)) continue;
       // What a cold processor can do is kept for the sessions that start or end there: its groups are empty
       // and so the cheapest to everyone at once.
       if (!data_.pools && cold(*tandem)) continue;
@@ -222,7 +224,7 @@
       const double far = data_.pools ? 0 : farShare(*tandem, *session.destination);
       if (busyShare(*tandem) + add > kCap || (!data_.pools && far + add > kCap)) continue;
       const double price = cost(busyShare(*tandem), add) + (data_.pools ? 0 : cost(far, add));
-      if (best != nullptr && price >= least) continue;
+      if ((best != nullptr && price >= least) || !fit(session, *tandem)) continue;
       best = tandem;
       least = price;
     }
@@ -411,12 +413,15 @@
   }
 
   bool pressed(const Session& session, const Exchange& at) const {
+    // A two-leg session is work for a third processor, so it stands back first.
+    return std::max(everywhere_, delayAt(at)) > mayWait_ * (twoLegs(session, at) ? 1.0 / 3.0 : 1.0);
+  }
+
+  Span mayWait(const Session& session) const {
     Span left = std::min(targetOf(session) - now_, session.service->postDialTarget);
     // A set-up that waits longer than this is repeated, and each repeat is work for who waits already.
     if (data_.repeatAfter > Span::none()) left = std::min(left, data_.repeatAfter);
-    // A two-leg session is work for a third processor, so it stands back first.
-    const double part = patienceShare(session) * (twoLegs(session, at) ? 1.0 / 3.0 : 1.0);
-    return expectedDelay(at) > left * part;
+    return left * patienceShare(session);
   }
 
   bool twoLegs(const Session& session, const Exchange& at) const {
@@ -455,18 +460,21 @@
     if (it != ownLine_.end()) ownLine_.erase(ownLine_.begin(), it + 1);
   }
 
-  Span expectedDelay(const Exchange& at) const {
-    // What is seen of all takes three, so that one slow or silent exchange does not shut the others.
-    Span delay = std::max(quantile(at.postDialDelays, 0.5, 1), quantile(delays_, 0.25, 3));
+  Span delayEverywhere() const {
+    // Three at least, so that one slow or silent exchange does not shut the others.
+    const Span delay = quantile(delays_, 0.25, 3);
     // What this office has under way passes its own processor first. A set-up, its answer and its release at
     // both ends make up the shortest delay seen, so this is the line of one who comes now.
     Span shortest = Span::none();
     for (std::size_t i = 0; i < delays_.size(); ++i) {
       shortest = i == 0 ? delays_[i].value : std::min(shortest, delays_[i].value);
     }
-    delay = std::max(delay, shortest * static_cast<double>(ownLine_.size()));
-    if (!at.ringing.empty()) delay = std::max(delay, now_ - at.ringing.front()->sentAt);
-    return delay;
+    return std::max(delay, shortest * static_cast<double>(ownLine_.size()));
+  }
+
+  Span delayAt(const Exchange& at) const {
+    const Span delay = quantile(at.postDialDelays, 0.5, 1);
+    return at.ringing.empty() ? delay : std::max(delay, now_ - at.ringing.front()->sentAt);
   }
 
   // Samples older than this tell of another state of the processor. About the longest post-dial target.
@@ -571,6 +579,8 @@
   std::unordered_map<std::uint64_t, Instant> busyNumbers_;
   Instant askAt_ = Instant::longAgo();
   std::vector<const Session*> ownLine_;  // INVITEs out that may not have passed the own processor yet
+  Span mayWait_;                         // of the session in hand: the longest delay it may be sent into
+  Span everywhere_;                      // the delay that one in hand meets whatever the exchange
   Instant wakeAt_ = Instant::longAgo();
   Instant beatAt_ = Instant::longAgo();
   Span lateBy_;
