Count a full processor as a delay of the office: it may be the own one

Cause: an office whose own processor is hung or full gets "processor full" at once for every INVITE, laid it at the exchange it had sent to, and went on to the next. Folded into one place with direct time-outs. Could hurt where many exchanges are full at once and an office sends to few others.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -335,14 +335,14 @@
         judge(session, at, true);
         if (reason == Reason::turnedBack && !farProcessor) at.farLegs[session.destination].turnedBack = now_;
         if (reason == Reason::turnedBack && farProcessor) hold(*session.destination, Span::none());
-        if (reason == Reason::processorFull) hold(at, toldWait);
+        if (reason == Reason::processorFull) {
+          hold(at, toldWait);
+          tooLate(std::max(toldWait, session.service->postDialTarget));
+        }
         break;
       case Ending::timedOut:
-        // A direct one waited at least as long as this at two processors, one of them the own; if it is the
-        // own, all are late, whatever the exchange. Guards against a slow processor here, and rushes this
-        // office made itself. One that went through a tandem may have met an office that stands still. Could
-        // hurt where many exchanges are silent at once and the office sends to few others.
-        if (lateBy_ == Span::none() && !twoLegs(session, at)) delays_.add(now_, now_ - session.sentAt);
+        // Through a tandem it may have met an office that stands still.
+        if (!twoLegs(session, at)) tooLate(now_ - session.sentAt);
         [[fallthrough]];
       case Ending::unreachable:
         judge(session, at, false);
@@ -352,6 +352,15 @@
     }
   }
 
+  // An INVITE that timed out or met a full processor waited, or would have, at one of two processors, and one
+  // of them is the own. If it is the own, all are late whatever the exchange: so it is a delay of the office,
+  // and a single bad exchange is outvoted there. Guards against a slow, hung or dead processor here and
+  // rushes that this office made itself. Could hurt where many exchanges fail at once and the office sends to
+  // few others.
+  void tooLate(Span delay) {
+    if (lateBy_ == Span::none()) delays_.add(now_, delay);
+  }
+
   void hold(Exchange& at, Span toldWait) {
     // A processor that is full says how long; where it does not, one clear-wait lets its line move.
     at.heldUntil = std::max(at.heldUntil, now_ + std::max(toldWait, data_.clearWait));
