--- a/tests/runner.cpp
+++ b/tests/runner.cpp
@@ -24,9 +24,14 @@
 class Scenario final : public Arrivals, public Writer {
  public:
   void line(const std::string& text) {
+    std::istringstream statements(text[0] == '#' ? "" : text);
+    for (std::string one; std::getline(statements, one, ';');) statement(one);
+  }
+
+  void statement(const std::string& text) {
     std::istringstream words(text);
     std::string verb;
-    if (!(words >> verb) || verb[0] == '#') return;
+    if (!(words >> verb)) return;
     if (verb == "=>") {
       std::string wanted;
       std::getline(words >> std::ws, wanted);
@@ -135,7 +140,9 @@
   }
 
   bool set(const std::string& verb, std::istream& words) {
-    if (verb == "service") {
+    if (verb == "office") {
+      line("service call 1 0.25 1500 9000; invites 6; clear-wait 300; retry-after 2000; own Here");
+    } else if (verb == "service") {
       services_[word(words)] = data_.services.size();
       Service service;
       service.value = number(words);
