An exchange that cut or left unanswered a direct session is no tandem for the time

Cause: exchanges that die leave empty groups, so they are everyone's cheapest tandem before the directory tells, and each office of a large fleet needs two silences of its own to know. Also guards against exchanges behind lost groups; could hurt where a mass cut leaves few tandems and direct sessions to them are rare.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -58,6 +58,7 @@
       exchange.relayed.clear();
       exchange.postDialDelays.clear();
       exchange.canTake.clear();
+      exchange.doubtful = false;
       exchange.heldUntil = Instant::longAgo();
     }
     exchange.readiness = readiness;
@@ -116,6 +117,7 @@
     const bool stood = session.standing;
     session.standing = false;
     if (!stood) learn(session, at, ending, reason, farProcessor, toldWait);
+    if (ending == Ending::reset && !twoLegs(session, at)) at.doubtful = true;
     if (final || session.over) {
       session.over = true;
       return;
@@ -373,6 +375,7 @@
     const bool relay = twoLegs(session, at);
     if (relay && !answered && condemned(session.destination->answered)) return;
     (relay ? at.relayed : at.answered).add(now_, answered);
+    if (!relay) at.doubtful = !answered;
   }
 
   // Who answers others in the meantime is slow, not silent: that is for the delays to tell. Guards against
@@ -417,6 +420,10 @@
 
   bool sound(const Session& session, const Exchange& at) const {
     if (at.readiness != Readiness::ready || now_ < at.heldUntil) return false;
+    // Whoever left a direct INVITE unanswered or cut a direct session is no tandem until a direct one is
+    // answered: there are others, and its empty groups would draw two-leg sessions before the directory
+    // tells.
+    if (twoLegs(session, at) && at.doubtful) return false;
     const bool sick = condemned(at.answered) || (twoLegs(session, at) && condemned(at.relayed));
     return !sick || trialDue(session, at);
   }
--- a/tests/runner.cpp
+++ b/tests/runner.cpp
@@ -226,6 +226,7 @@
         {"ok", {Ending::ok, Reason::none}},
         {"timed-out", {Ending::timedOut, Reason::none}},
         {"reset", {Ending::reset, Reason::none}},
+        {"cut", {Ending::reset, Reason::none}},
         {"unreachable", {Ending::unreachable, Reason::none}},
         {"line-busy", {Ending::fault, Reason::lineBusy}},
         {"no-circuit", {Ending::moot, Reason::noCircuit}},
@@ -240,9 +241,11 @@
     const Span told = how == "processor-full" ? span(words) : Span::none();
     const auto [ending, reason] = hows.at(how);
     const bool far = how == "far-processor-full";
-    events_.push_back([&which, &at, ending = ending, reason = reason, far, told](Controller& controller) {
-      controller.ended(which, at, ending, reason, far, told, ending == Ending::ok);
-    });
+    const bool final = how == "ok" || how == "cut";
+    events_.push_back(
+        [&which, &at, ending = ending, reason = reason, far, told, final](Controller& controller) {
+          controller.ended(which, at, ending, reason, far, told, final);
+        });
   }
 
   void event(const std::string& verb, std::istream& words) {
