--- /dev/null
+++ b/src/audit/audit.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+// Judges a day by its capture and the fleet alone. Shares no code with the office but the frame decoder.
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "fleet/fleet.hpp"
+
+namespace thistlefold::audit {
+
+struct Breach {
+  int rule = 0;  // 1 to 5
+  std::uint64_t session = 0;
+  double atMs = 0;  // of the day
+  std::string text;
+};
+
+struct Findings {
+  std::vector<Breach> breaches;  // the first hundred, in order of time
+  std::uint64_t broken[6] = {};  // by rule
+  // Tries of callers that reached an office, by how they were answered.
+  std::uint64_t tries = 0, stood = 0, refused = 0, callerLeft = 0, officeDown = 0, unanswered = 0, unreached = 0;
+  std::uint64_t invites = 0, twoLeg = 0, datagrams = 0, lost = 0;
+  double nearestToCold = 0;  // largest share of rule 4's limit that was sent to a cold exchange
+  bool accounted() const { return tries == stood + refused + callerLeft + officeDown + unanswered; }
+  bool kept() const {
+    return broken[1] + broken[2] + broken[3] + broken[4] + broken[5] == 0 && accounted() && unanswered == 0;
+  }
+};
+
+/// Throws std::runtime_error where the capture can't be read.
+Findings audit(const Fleet& fleet, const std::string& capturePath);
+
+std::string describe(const Findings& findings);
+
+}  // namespace thistlefold::audit
--- /dev/null
+++ b/src/audit/ladder.cpp
@@ -0,0 +1,73 @@
+#include "audit/ladder.hpp"
+
+#include <functional>
+#include <iomanip>
+#include <map>
+#include <set>
+#include <tuple>
+
+#include "capture/capture.hpp"
+#include "iax2/frame.hpp"
+
+namespace thistlefold::audit {
+namespace {
+
+using iax2::Address;
+
+/// One call, whoever sends: the lower end first.
+using CallKey = std::tuple<Address, std::uint16_t, Address, std::uint16_t>;
+
+std::string nameOf(const Fleet& fleet, Address at) {
+  for (const Place& place : fleet.places) {
+    if (place.office == at) return "office " + place.name;
+    if (place.processor == at) return "exchange " + place.name;
+  }
+  return text(at);
+}
+
+CallKey key(const capture::Packet& packet, const iax2::Frame& frame) {
+  if (packet.from < packet.to) return {packet.from, frame.source, packet.to, frame.destination};
+  return {packet.to, frame.destination, packet.from, frame.source};
+}
+
+}  // namespace
+
+std::size_t ladder(const Fleet& fleet, const std::string& capturePath, std::uint64_t session, std::ostream& out) {
+  // First the call numbers that frames of this session name, then all frames of these calls. A NEW has no number of
+  // the other end yet.
+  std::set<CallKey> calls;
+  const auto walk = [&](const std::function<void(const capture::Packet&, const iax2::Frame&, Instant)>& each) {
+    Instant begin = Instant::never();
+    capture::read(capturePath, [&](const capture::Packet& packet) {
+      if (begin == Instant::never()) begin = packet.at;
+      iax2::Frame frame;
+      if (packet.from == capture::kScript || iax2::decode(packet.payload, frame) != iax2::Reading::full) return;
+      each(packet, frame, begin);
+    });
+  };
+  walk([&](const capture::Packet& packet, const iax2::Frame& frame, Instant) {
+    if (frame.elements.session != session) return;
+    calls.insert(key(packet, frame));
+    iax2::Frame opening = frame;
+    opening.source = 0;
+    calls.insert(key(packet, opening));
+    opening = frame;
+    opening.destination = 0;
+    calls.insert(key(packet, opening));
+  });
+  std::size_t count = 0;
+  walk([&](const capture::Packet& packet, const iax2::Frame& frame, Instant begin) {
+    if (!calls.contains(key(packet, frame))) return;
+    ++count;
+    out << std::fixed << std::setprecision(3) << std::setw(9) << (packet.at - begin).ms() / 1000 << ' '
+        << (packet.delivered ? "got " : "sent") << ' ' << nameOf(fleet, packet.from) << " -> "
+        << nameOf(fleet, packet.to) << "  " << frame.source << "/" << frame.destination << "  " << name(frame) << " o"
+        << static_cast<int>(frame.oseq) << " i" << static_cast<int>(frame.iseq) << (frame.again ? " again" : "");
+    if (frame.elements.causeCode) out << " cause " << static_cast<int>(*frame.elements.causeCode);
+    if (frame.elements.why) out << " why " << static_cast<int>(*frame.elements.why);
+    out << '\n';
+  });
+  return count;
+}
+
+}  // namespace thistlefold::audit
--- /dev/null
+++ b/src/audit/ladder.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <cstdint>
+#include <ostream>
+#include <string>
+
+#include "fleet/fleet.hpp"
+
+namespace thistlefold::audit {
+
+/// Prints all frames of one session, in order: when, from whom to whom, sent or delivered, what. Returns how many.
+/// Throws std::runtime_error where the capture can't be read.
+std::size_t ladder(const Fleet& fleet, const std::string& capturePath, std::uint64_t session, std::ostream& out);
+
+}  // namespace thistlefold::audit
--- /dev/null
+++ b/src/command/check.cpp
@@ -0,0 +1,58 @@
+#include <filesystem>
+#include <iostream>
+
+#include "command/commands.hpp"
+#include "day/script.hpp"
+#include "settings/files.hpp"
+
+namespace thistlefold::command {
+namespace {
+
+void check(const std::string& path) {
+  const settings::Document document = settings::Document::open(path);
+  const std::string_view kind = document.forms().front().head();
+  if (kind == "fleet") {
+    const Fleet fleet = settings::readFleet(document.only("fleet"));
+    std::cout << path << ": a fleet of " << fleet.places.size() << " exchanges, " << fleet.groups.size()
+              << " trunk groups, " << fleet.offers.size() << " services\n";
+  } else if (kind == "office") {
+    const settings::OfficeFile office = settings::openOfficeFile(path);
+    std::cout << path << ": the office of " << office.fleet.places[static_cast<std::size_t>(office.setting.place)].name
+              << ", listening at " << text(office.listen) << '\n';
+  } else if (kind == "day") {
+    const day::DayPlan plan = day::openDay(path);
+    std::cout << path << ": day " << plan.name << " of " << plan.length.ms() / 1000 << " s, "
+              << plan.fleet.places.size() << " exchanges, " << plan.troubles.size() << " troubles\n";
+  } else {
+    document.forms().front().wrong("(fleet ...), (office ...) or (day ...) is expected");
+  }
+}
+
+}  // namespace
+
+void addCheck(CLI::App& app, int& status) {
+  auto* command = app.add_subcommand("check", "Read settings files and say what is wrong with them, if anything");
+  auto paths = std::make_shared<std::vector<std::string>>();
+  auto explain = std::make_shared<bool>(false);
+  command->add_option("FILE", *paths, "fleet, office or day files");
+  command->add_flag("--explain", *explain, "print every word that settings may have, its default and its meaning");
+  command->callback([=, &status] {
+    if (*explain) {
+      settings::explain(std::cout);
+      day::explainDay(std::cout);
+    } else if (paths->empty()) {
+      std::cerr << "thistlefold check: a file, or --explain, is expected\n";
+      status = 2;
+    }
+    for (const std::string& path : *paths) {
+      try {
+        check(path);
+      } catch (const settings::Wrong& wrong) {
+        std::cerr << wrong.what() << '\n';
+        status = 1;
+      }
+    }
+  });
+}
+
+}  // namespace thistlefold::command
--- /dev/null
+++ b/src/command/main.cpp
@@ -0,0 +1,27 @@
+#include <iostream>
+
+#include "command/commands.hpp"
+
+int main(int count, char** words) {
+  CLI::App app{"thistlefold: a call router that sets calls up over trunk groups"};
+  app.require_subcommand(1);
+  app.footer("Each command explains itself: thistlefold COMMAND --help. Settings: thistlefold check --explain.");
+  int status = 0;
+  using namespace thistlefold::command;
+  addServe(app, status);
+  addStatus(app, status);
+  addCheck(app, status);
+  addDay(app, status);
+  addAudit(app, status);
+  addStandIns(app, status);
+  try {
+    app.parse(count, words);
+  } catch (const CLI::ParseError& error) {
+    const int code = app.exit(error);
+    return code == 0 ? 0 : 2;
+  } catch (const std::exception& failure) {
+    std::cerr << "thistlefold: " << failure.what() << '\n';
+    return 2;
+  }
+  return status;
+}
--- /dev/null
+++ b/src/command/serve.cpp
@@ -0,0 +1,162 @@
+#include <spdlog/sinks/basic_file_sink.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <iostream>
+
+#include "command/commands.hpp"
+#include "command/host.hpp"
+#include "office/office.hpp"
+#include "settings/files.hpp"
+
+namespace thistlefold::command {
+namespace {
+
+namespace asio = boost::asio;
+
+// On SIGTERM all that is held is ended at once; the far ends confirm within this or are left to find out.
+constexpr auto kStopWithin = std::chrono::milliseconds(2000);
+
+std::shared_ptr<spdlog::logger> openLog(const settings::LogSetting& setting) {
+  std::shared_ptr<spdlog::logger> log;
+  if (setting.to == "-") {
+    log = std::make_shared<spdlog::logger>("office", std::make_shared<spdlog::sinks::stderr_sink_st>());
+  } else {
+    log = std::make_shared<spdlog::logger>("office", std::make_shared<spdlog::sinks::basic_file_sink_st>(setting.to));
+  }
+  log->set_pattern(setting.format == "json" ? R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l",%v})"
+                                            : "time=%Y-%m-%dT%H:%M:%S.%e%z level=%l %v");
+  log->set_level(spdlog::level::from_str(setting.level));
+  log->flush_on(spdlog::level::warn);
+  return log;
+}
+
+/// Writes what an office tells. Names are checked where they are read, so nothing in a line needs quoting but the
+/// reason.
+class Lines {
+ public:
+  Lines(std::shared_ptr<spdlog::logger> log, std::string office, bool json)
+      : log_(std::move(log)), office_(std::move(office)), json_(json) {}
+
+  void say(spdlog::level::level_enum level, std::string_view event, std::uint64_t session, std::string_view exchange,
+           std::string_view reason) {
+    if (!log_->should_log(level)) return;
+    if (json_) {
+      log_->log(level, R"("office":"{}","event":"{}","session":"{:x}","exchange":"{}","reason":"{}")", office_, event,
+                session, exchange, reason);
+    } else {
+      log_->log(level, R"(office={} event={} session={:x} exchange={} reason="{}")", office_, event, session,
+                exchange.empty() ? "-" : exchange, reason);
+    }
+  }
+  void operator()(const Happening& one) {
+    using What = Happening::What;
+    static constexpr std::string_view kEvents[] = {"taken",     "invited",   "stood",  "ended",  "refused", "cut",
+                                                   "peer-lost", "peer-back", "listed", "strange"};
+    const bool session = one.what <= What::cut;
+    say(session                                                    ? spdlog::level::debug
+        : one.what == What::peerLost || one.what == What::strange ? spdlog::level::warn
+                                                                   : spdlog::level::info,
+        kEvents[static_cast<std::size_t>(one.what)], one.session, one.exchange, one.reason);
+  }
+  spdlog::logger& log() { return *log_; }
+
+ private:
+  std::shared_ptr<spdlog::logger> log_;
+  std::string office_;
+  bool json_;
+};
+
+/// The office, and beside it the answer to `thistlefold status`, which comes to the same port.
+class Counter final : public Station {
+ public:
+  explicit Counter(Office& office) : office_(office) {}
+  void take(Instant now, iax2::Address from, std::span<const std::uint8_t> datagram) override {
+    static constexpr std::string_view kQuestion = "thistlefold status 1\n";
+    const bool asked = std::equal(datagram.begin(), datagram.end(), kQuestion.begin(), kQuestion.end());
+    // Only to this host: an account is longer than the question, and nobody else's business.
+    if (asked && from.ip >> 24 == 127) {
+      if (askers_.size() < 16) askers_.push_back(from);
+    } else {
+      office_.take(now, from, datagram);
+    }
+  }
+  void turn(Instant now, const Outlet& out) override {
+    office_.turn(now, out);
+    for (const iax2::Address asker : askers_) {
+      const std::string account = office_.report(now);
+      out(asker, {reinterpret_cast<const std::uint8_t*>(account.data()), account.size()});
+    }
+    askers_.clear();
+  }
+  Instant nextTurn() const override { return office_.nextTurn(); }
+
+ private:
+  Office& office_;
+  std::vector<iax2::Address> askers_;
+};
+
+int serve(const std::string& path) {
+  const settings::OfficeFile file = settings::openOfficeFile(path);
+  const std::string& name = file.fleet.places[static_cast<std::size_t>(file.setting.place)].name;
+  Lines lines(openLog(file.log), name, file.log.format == "json");
+  Host host(file.listen);
+  Office office(file.fleet, file.setting, host.clock().now(), openOffice, std::ref(lines));
+  Counter counter(office);
+
+  asio::signal_set ends(host.context(), SIGTERM, SIGINT), levels(host.context(), SIGUSR1);
+  asio::steady_timer patience(host.context());
+  std::function<void()> untilStopped = [&] {
+    if (office.stopped() || patience.expiry() <= std::chrono::steady_clock::now()) return host.stop();
+    auto again = std::make_shared<asio::steady_timer>(host.context(), std::chrono::milliseconds(10));
+    again->async_wait([&, again](auto) { untilStopped(); });
+  };
+  ends.async_wait([&](const boost::system::error_code& error, int) {
+    if (error) return;
+    lines.say(spdlog::level::info, "stopping", 0, "", std::to_string(office.sessions()) + " sessions held");
+    office.stop(host.clock().now());
+    host.attendance().nudge();
+    patience.expires_after(kStopWithin);
+    untilStopped();
+  });
+  std::function<void()> onLevel = [&] {
+    levels.async_wait([&](const boost::system::error_code& error, int) {
+      if (error) return;
+      auto& log = lines.log();
+      log.set_level(log.level() == spdlog::level::debug ? spdlog::level::info : spdlog::level::debug);
+      lines.say(spdlog::level::info, "log-level", 0, "", log.level() == spdlog::level::debug ? "debug" : "info");
+      onLevel();
+    });
+  };
+  onLevel();
+  std::cout << "listening " << text(host.port().address()) << std::endl;
+  lines.say(spdlog::level::info, "started", 0, "",
+            "listening at " + text(host.port().address()) + ", receive buffer " +
+                std::to_string(host.port().counts().receiveBuffer) + " bytes");
+  host.run(counter);
+  lines.say(spdlog::level::info, "stopped", 0, "", std::to_string(office.sessions()) + " sessions left");
+  return office.stopped() ? 0 : 1;
+}
+
+}  // namespace
+
+void addServe(CLI::App& app, int& status) {
+  auto* command = app.add_subcommand("serve", "Run one office: a softswitch on a UDP socket");
+  auto path = std::make_shared<std::string>();
+  command->add_option("FILE", *path, "the office file")->required();
+  command->footer(
+      "Prints `listening ADDRESS:PORT` when it takes calls. SIGTERM: takes nothing new, ends all it holds with one\n"
+      "answer each, gone within two seconds; status 0 if all was confirmed. SIGUSR1: log level between info and debug.");
+  command->callback([=, &status] {
+    try {
+      status = serve(*path);
+    } catch (const settings::Wrong& wrong) {
+      std::cerr << wrong.what() << '\n';
+      status = 1;
+    }
+  });
+}
+
+}  // namespace thistlefold::command
--- /dev/null
+++ b/src/day/play.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+// Plays a day on a stage and says how it went.
+
+#include <string>
+#include <vector>
+
+#include "audit/audit.hpp"
+#include "day/script.hpp"
+#include "day/stage.hpp"
+
+namespace thistlefold::day {
+
+struct Report {
+  std::string day;
+  std::vector<std::string> services;
+  std::vector<Callers::Served> served;
+  std::vector<Callers::Second> seconds;
+  std::map<int, std::uint64_t> refusals;  // by cause code
+  double p50 = 0, p99 = 0;                // post-dial delay in ms of sessions that stood
+  std::vector<std::string> offices;       // each office's own account, JSON; empty where it gave none
+  std::vector<std::string> troubles;      // what happened when, in order
+  std::vector<std::string> disagree;      // groups whose two ends count differently at the end
+  std::size_t unfinished = 0;             // sessions that callers still wanted when the day was cut off
+  std::size_t fallen = 0;                 // exchanges that were pushed over
+  double seconds_taken = 0;
+  audit::Findings findings;
+
+  double service() const;  // value earned over value offered
+  bool good() const { return findings.kept() && disagree.empty() && unfinished == 0 && fallen == 0; }
+};
+
+/// The capture is written to `capturePath`. Throws StageFault or std::runtime_error.
+Report play(const DayPlan& plan, Stage& stage, const std::string& capturePath);
+
+std::string describe(const Report& report);
+std::string json(const Report& report);
+
+}  // namespace thistlefold::day
--- /dev/null
+++ b/src/net/attend.cpp
@@ -0,0 +1,98 @@
+#include "net/attend.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace thistlefold::net {
+namespace {
+
+namespace asio = boost::asio;
+
+// Taken before each round: the more, the fewer rounds in a rush; so few, that what is due does not wait for a
+// flood to end. A round over 256 takes about a millisecond.
+constexpr std::size_t kBatch = 256;
+
+}  // namespace
+
+struct Attendance::State {
+  State(Station& of, Port& at, Clock& by, std::function<void(const char*)> tell)
+      : station(&of), port(&at), clock(&by), alarm(by.alarm()), fault(std::move(tell)) {}
+
+  void turn() {
+    const Instant now = clock->now();
+    station->turn(now, [this](iax2::Address to, std::span<const std::uint8_t> datagram) {
+      port->send(to, datagram);
+    });
+    alarm->set(station->nextTurn());
+  }
+
+  void end(std::exception_ptr why) {
+    if (!over && why) {
+      try {
+        std::rethrow_exception(why);
+      } catch (const std::exception& failure) {
+        fault(failure.what());
+      } catch (...) {
+        fault("unknown");
+      }
+      port->close();
+    }
+    over = true;
+    alarm->close();
+  }
+
+  Station* station;
+  Port* port;
+  Clock* clock;
+  std::unique_ptr<Alarm> alarm;
+  std::function<void(const char*)> fault;
+  bool over = false;
+};
+
+namespace {
+
+template <typename State>
+asio::awaitable<void> receiving(std::shared_ptr<State> at) {
+  while (!at->over && !at->port->closed()) {
+    co_await at->port->readable();
+    if (at->over || at->port->closed()) break;
+    const Instant now = at->clock->now();
+    at->port->drain(kBatch, [&](iax2::Address from, std::span<const std::uint8_t> datagram) {
+      at->station->take(now, from, datagram);
+    });
+    at->turn();
+  }
+}
+
+template <typename State>
+asio::awaitable<void> ticking(std::shared_ptr<State> at) {
+  while (!at->over) {
+    co_await at->alarm->rung();
+    if (at->over) break;
+    // What has come in belongs to this round too.
+    const Instant now = at->clock->now();
+    at->port->drain(kBatch, [&](iax2::Address from, std::span<const std::uint8_t> datagram) {
+      at->station->take(now, from, datagram);
+    });
+    at->turn();
+  }
+}
+
+}  // namespace
+
+Attendance::Attendance(asio::any_io_executor executor, Station& station, Port& port, Clock& clock,
+                       std::function<void(const char*)> fault)
+    : state_(std::make_shared<State>(station, port, clock, std::move(fault))) {
+  state_->alarm->set(clock.now());
+  asio::co_spawn(executor, receiving(state_), [at = state_](std::exception_ptr why) { at->end(why); });
+  asio::co_spawn(executor, ticking(state_), [at = state_](std::exception_ptr why) { at->end(why); });
+}
+
+Attendance::~Attendance() {
+  state_->over = true;
+  state_->alarm->close();
+}
+
+void Attendance::nudge() { state_->alarm->set(state_->clock->now()); }
+
+}  // namespace thistlefold::net
--- /dev/null
+++ b/src/office/office.cpp
@@ -0,0 +1,895 @@
+#include "office/office.hpp"
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+namespace thistlefold {
+
+using iax2::Why;
+
+namespace {
+
+// ITU-T Q.850 cause codes, as RFC 5456 section 8.6.33 carries them.
+constexpr std::uint8_t kNoRoute = 3, kNormal = 16, kBusy = 17, kNoCircuit = 34, kOutOfOrder = 38, kTemporary = 41,
+                       kCongestion = 42, kInvalid = 95, kTimer = 102;
+
+// What a processor said it can take is passed on for so long; a hung one says nothing more.
+constexpr Span kRoomFresh = Span::ms(1000);
+
+// An office that waits for a list this long asks again.
+constexpr Span kListWithin = Span::ms(1000);
+
+// A terminating session is ended here this much after its sender should have ended it.
+constexpr Span kSenderFirst = Span::ms(500);
+
+std::uint32_t milliseconds(Span span) { return static_cast<std::uint32_t>(std::max(0.0, span.ms())); }
+
+}  // namespace
+
+/// Another office with the exchange behind it, or (the own place) the own exchange.
+struct Office::Peer : Exchange {
+  Peer(const Place& at, Trunk group) : site(at), trunk(group) {}
+
+  const Place& site;
+  Trunk trunk;
+  Readiness told = Readiness::gone;
+  std::uint64_t start = 0;  // the directory's mark of its processor
+  std::uint64_t mark = 0;   // its own mark, from PONG
+  Instant heardAt = Instant::longAgo();
+  Instant pokedAt = Instant::longAgo();
+  bool silent = false;
+  double canTake = -1;
+  Instant canTakeAt = Instant::longAgo();
+  bool isChanged = false;
+};
+
+/// One session. The Session part is the module's, the rest the engine's.
+struct Office::Held : Session {
+  enum class Kind { dialled, transit, terminating };
+  enum class State { asked, ringing, standing, over };
+
+  std::uint64_t id = 0;
+  Kind kind = Kind::dialled;
+  State state = State::asked;
+  Leg* in = nullptr;
+  Leg* out = nullptr;
+  Peer* at = nullptr;  // where the INVITE went
+  std::string called;
+  std::size_t offer = 0;
+  Instant giveUpAt = Instant::never();
+  bool acceptedIn = false;
+  Reason lastReason = Reason::none;
+  Ending lastEnding = Ending::ok;
+  bool lastBeyond = false;
+  bool queued = false;  // in done_
+  std::list<Held>::iterator self;
+};
+
+bool Office::Sooner::operator()(const Held* a, const Held* b) const {
+  return a->giveUpAt != b->giveUpAt ? a->giveUpAt < b->giveUpAt : a->id != b->id ? a->id < b->id : a < b;
+}
+
+/// One call of a session: to its caller, to another office, or into the own exchange. Outlives the session's
+/// interest in it until the far end has confirmed the end, and holds the circuits until then.
+struct Office::Leg : iax2::CallOwner {
+  Leg(Office& at, Held* of, iax2::Call& on, Peer* towards, int wide, bool outgoing)
+      : office(at), held(of), call(&on), peer(towards), circuits(wide), out(outgoing), inDoubt(outgoing) {}
+  void heard(iax2::Call&, const iax2::Frame& frame) override { office.heard(*this, frame); }
+  void gone(iax2::Call&, iax2::Gone how) override { office.gone(*this, how); }
+
+  Office& office;
+  Held* held;
+  iax2::Call* call;
+  Peer* peer;    // null: a caller
+  int circuits;  // of the group to `peer`; 0 where none are held
+  bool out;
+  bool inDoubt;  // not answered by the far end yet
+  Instant openedAt;
+  std::list<Leg>::iterator self;
+};
+
+struct Office::Event {
+  enum class Kind { incoming, accepted, ended, abandoned, listed, reported, listFailed };
+  explicit Event(Kind what, Held* whose = nullptr, Peer* where = nullptr, Ending how = Ending::ok,
+                 Reason why = Reason::none)
+      : kind(what), held(whose), peer(where), ending(how), reason(why) {}
+
+  Kind kind;
+  Held* held;
+  Peer* peer;
+  Ending ending;
+  Reason reason;
+  bool beyond = false;  // ended: the reason lies with the far processor
+  Span span;            // ended: told wait; accepted: delay
+  bool final = false;
+  Readiness readiness = Readiness::gone;
+  Instant instant;
+  double number = 0;
+};
+
+Office::Office(const Fleet& fleet, OfficeSetting setting, Instant now, const MakeController& make, Watch watch)
+    : fleet_(fleet),
+      setting_(setting),
+      watch_(std::move(watch)),
+      now_(now),
+      started_(now),
+      endpoint_(*this, setting.seed ^ static_cast<std::uint64_t>((now - Instant()).ms() * 1000), setting.patience),
+      startMark_(static_cast<std::uint64_t>((now - Instant()).ms() * 1000)) {
+  controller_ = make(fleet.data, setting.seed);
+  for (std::size_t i = 0; i < fleet.places.size(); ++i) {
+    const int place = static_cast<int>(i);
+    peers_.push_back(std::make_unique<Peer>(
+        fleet.places[i], Trunk(fleet.circuits(setting.place, place), setting.place < place)));
+    Peer& peer = *peers_.back();
+    peer.place = place;
+    peer.own = place == setting.place;
+    peer.heardAt = now;
+    if (peer.own) {
+      own_ = &peer;
+    } else {
+      byOffice_[peer.site.office] = &peer;
+      changed(peer);
+    }
+  }
+}
+
+Office::~Office() = default;
+
+// ---- What comes in ---------------------------------------------------------------------------------------
+
+void Office::take(Instant now, iax2::Address from, std::span<const std::uint8_t> datagram) {
+  now_ = now;
+  if (from == fleet_.directory && !datagram.empty() && datagram[0] == 't') {
+    if (const auto read = decodeList(datagram)) {
+      list(*read);
+    } else {
+      ++tally_.unreadable;
+    }
+    return;
+  }
+  endpoint_.receive(now, from, datagram);
+}
+
+void Office::opened(iax2::Call& call, const iax2::Frame& frame) {
+  const auto peer = byOffice_.find(call.peer());
+  if (stopping_) return reject(call, Why::none, kOutOfOrder, "going out of service", Span::ms(1000));
+  if (held_.size() >= setting_.mostSessions) {
+    ++tally_.overFull;
+    return reject(call, Why::processorFull, kCongestion, "office full", Span::ms(1000));
+  }
+  peer == byOffice_.end() ? fromCaller(call, frame) : fromPeer(*peer->second, call, frame);
+}
+
+void Office::fromCaller(iax2::Call& call, const iax2::Frame& frame) {
+  const iax2::Elements& e = frame.elements;
+  const int service = e.calledContext.empty() ? 0 : fleet_.service(e.calledContext);
+  if (service < 0) return reject(call, Why::noRoute, kNoRoute, "no such service", Span::none());
+  if (e.calledNumber.empty() || e.calledNumber.size() > 32) {
+    return reject(call, Why::noRoute, kNoRoute, "a called number of 1 to 32 digits is wanted", Span::none());
+  }
+  const std::uint64_t id = std::uint64_t{static_cast<std::uint32_t>(setting_.place + 1) & 0xfff} << 52 |
+                           (startMark_ / 1000 & 0xfffff) << 32 | ++serial_;
+  Held& held = newHeld(id, frame, static_cast<std::size_t>(service));
+  held.kind = Held::Kind::dialled;
+  held.width = fleet_.offers[held.offer].width;
+  const int destination = fleet_.destination(held.called);
+  held.destination = destination < 0 ? nullptr : peers_[static_cast<std::size_t>(destination)].get();
+  held.wasCut = e.wasCut.value_or(false);
+  held.in = &newLeg(held, call, nullptr, 0, false);
+  ++tally_.dialled;
+  tell(Happening::What::taken, &held, nullptr, "");
+  event(Event(Event::Kind::incoming, &held));
+}
+
+void Office::fromPeer(Peer& peer, iax2::Call& call, const iax2::Frame& frame) {
+  const iax2::Elements& e = frame.elements;
+  const int service = fleet_.service(e.calledContext);
+  if (!e.session || !e.towards || !e.width || *e.width == 0 || *e.width > 1000 || !e.timeLeft || service < 0 ||
+      *e.towards >= peers_.size() || *e.towards == peer.place) {
+    return reject(call, Why::noRoute, kInvalid, "not a session of this fleet", Span::none());
+  }
+  const int width = *e.width;
+  if (!peer.trunk.admit(width)) {
+    ++tally_.noCircuit;
+    return reject(call, Why::noCircuit, kNoCircuit, "no circuit", Span::none());
+  }
+  changed(peer);
+  Held& held = newHeld(*e.session, frame, static_cast<std::size_t>(service));
+  held.width = width;
+  held.destination = peers_[*e.towards].get();
+  held.transit = true;
+  held.in = &newLeg(held, call, &peer, width, false);
+  if (held.destination == own_) {
+    held.kind = Held::Kind::terminating;
+    ++tally_.terminating;
+    terminate(held);
+  } else {
+    held.kind = Held::Kind::transit;
+    ++tally_.transit;
+    event(Event(Event::Kind::incoming, &held));
+  }
+}
+
+Office::Held& Office::newHeld(std::uint64_t id, const iax2::Frame& frame, std::size_t service) {
+  const auto self = held_.emplace(held_.end());
+  Held& held = *self;
+  held.self = self;
+  held.id = id;
+  held.offer = service;
+  held.service = &fleet_.data.services[service];
+  held.called = frame.elements.calledNumber;
+  Span limit = held.service->timerLimit;
+  if (frame.elements.timeLeft) limit = std::min(limit, Span::ms(*frame.elements.timeLeft));
+  held.timerLimit = now_ + limit;
+  // The module only compares numbers; those that are no plain digits still differ from each other.
+  for (const char c : held.called) {
+    held.dialledNumber = held.dialledNumber * 131 + static_cast<std::uint8_t>(c);
+  }
+  return held;
+}
+
+// The last step: into the own exchange. There is one way and it is taken, unless the directory has said that the
+// exchange takes nothing new (rule 3) or the sender has no time left.
+void Office::terminate(Held& held) {
+  if (own_->told != Readiness::ready) {
+    return answerNo(held, Why::processorFull, false, kRoomFresh, kOutOfOrder, "exchange not in service");
+  }
+  iax2::Elements e;
+  e.version = std::uint16_t{2};
+  e.calledNumber = held.called;
+  e.calledContext = fleet_.offers[held.offer].name;
+  e.session = held.id;
+  e.origin = static_cast<std::uint16_t>(setting_.place);
+  e.towards = static_cast<std::uint16_t>(setting_.place);
+  e.width = static_cast<std::uint16_t>(held.width);
+  e.timeLeft = milliseconds(held.timerLimit - now_);
+  iax2::Call* call = endpoint_.open(now_, own_->site.processor, nullptr, e);
+  if (call == nullptr) return answerNo(held, Why::processorFull, false, kRoomFresh, kCongestion, "no call number");
+  held.out = &newLeg(held, *call, own_, 0, true);
+  held.at = own_;
+  held.state = Held::State::ringing;
+  due(held, held.timerLimit + kSenderFirst);
+}
+
+void Office::heard(Leg& leg, const iax2::Frame& frame) {
+  Held* held = leg.held;
+  const iax2::Elements& e = frame.elements;
+  if (leg.peer != nullptr && leg.inDoubt && leg.out) {
+    leg.inDoubt = false;
+    leg.peer->trunk.answered(leg.circuits);
+  }
+  if (leg.peer != nullptr && leg.out && e.canTake) {
+    const double canTake = *e.canTake / 1000.0;
+    if (leg.peer->own) {
+      own_->canTake = canTake;
+      own_->canTakeAt = now_;
+    }
+    Event reported(Event::Kind::reported);
+    reported.peer = leg.peer;
+    reported.number = canTake;
+    event(reported);
+  }
+  const bool bye = frame.is(iax2::Iax::HANGUP) || frame.is(iax2::Iax::REJECT);
+  if (held == nullptr) return;
+  if (!leg.out) {
+    if (!bye) return;
+    unlink(leg);
+    if (held->state == Held::State::standing) return over(*held, false, &leg);
+    return callerLeft(*held);
+  }
+  if (frame.is(iax2::Iax::ACCEPT)) {
+    if (held->kind == Held::Kind::terminating && !held->acceptedIn && held->in != nullptr) {
+      held->acceptedIn = true;
+      endpoint_.send(now_, *held->in->call, iax2::Iax::ACCEPT, withRoom(held));
+    }
+    return;
+  }
+  if (frame.is(iax2::Control::ringing) || frame.is(iax2::Control::proceeding)) {
+    if (held->state == Held::State::ringing && held->acceptedIn && held->in != nullptr) {
+      endpoint_.send(now_, *held->in->call, static_cast<iax2::Control>(frame.subclass));
+    }
+    return;
+  }
+  if (frame.is(iax2::Control::answer)) {
+    if (held->state == Held::State::ringing) answered(*held);
+    return;
+  }
+  const bool busyTone = frame.is(iax2::Control::busy);
+  if (!bye && !busyTone && !frame.is(iax2::Control::congestion)) return;
+  if (held->state == Held::State::standing) {
+    if (!bye) return;
+    unlink(leg);
+    return over(*held, e.why == Why::reset || e.causeCode == kOutOfOrder, &leg);
+  }
+  if (!bye) hangUp(leg, Why::none, kNormal);
+  unlink(leg);
+  const Span wait = Span::ms(e.wait.value_or(0));
+  const std::uint8_t code = e.causeCode.value_or(0);
+  switch (e.why.value_or(Why::none)) {
+    case Why::noCircuit:
+      return failed(*held, Ending::full, Reason::noCircuit, false, Span::none());
+    case Why::turnedBack:
+      return failed(*held, Ending::full, Reason::turnedBack, e.beyond.value_or(false), Span::none());
+    case Why::processorFull:
+      return failed(*held, Ending::full, Reason::processorFull, false, wait);
+    case Why::lineBusy:
+      return failed(*held, Ending::fault, Reason::lineBusy, false, Span::none());
+    case Why::reset:
+      return failed(*held, Ending::reset, Reason::none, false, Span::none());
+    case Why::noRoute:
+      return failed(*held, Ending::fault, Reason::none, false, Span::none());
+    case Why::none:
+      break;
+  }
+  // A peer that does not know the private elements.
+  if (code == kBusy || busyTone) return failed(*held, Ending::fault, Reason::lineBusy, false, Span::none());
+  if (code == kNoCircuit) return failed(*held, Ending::full, Reason::noCircuit, false, Span::none());
+  if (code == kCongestion || !bye) {
+    return failed(*held, Ending::full, Reason::processorFull, false, Span::none());
+  }
+  failed(*held, Ending::fault, Reason::none, false, Span::none());
+}
+
+void Office::gone(Leg& leg, iax2::Gone how) {
+  Held* held = leg.held;
+  const bool out = leg.out;
+  const bool cut = how != iax2::Gone::finished && how != iax2::Gone::hungUp;
+  unlink(leg);
+  settle(leg);
+  if (held == nullptr) return;
+  if (held->state == Held::State::standing) return over(*held, cut, nullptr);
+  if (held->state == Held::State::over) return;
+  if (!out) return callerLeft(*held);
+  failed(*held, how == iax2::Gone::unanswered ? Ending::timedOut : Ending::reset, Reason::none, false, Span::none());
+}
+
+// ---- The course of a session -----------------------------------------------------------------------------
+
+void Office::answered(Held& held) {
+  held.state = Held::State::standing;
+  ++standing_;
+  due(held, Instant::never());
+  if (held.in != nullptr) {
+    if (!held.acceptedIn) endpoint_.send(now_, *held.in->call, iax2::Iax::ACCEPT, withRoom(&held));
+    held.acceptedIn = true;
+    endpoint_.send(now_, *held.in->call, iax2::Control::answer);
+  }
+  if (held.kind == Held::Kind::terminating) return;
+  ++tally_.stood;
+  tell(Happening::What::stood, &held, held.at, "");
+  Event accepted(Event::Kind::accepted, &held);
+  accepted.span = now_ - held.sentAt;
+  event(accepted);
+}
+
+void Office::failed(Held& held, Ending ending, Reason reason, bool beyond, Span wait) {
+  due(held, Instant::never());
+  held.state = Held::State::asked;
+  if (ending == Ending::timedOut) ++tally_.timedOut;
+  if (ending == Ending::reset) ++tally_.reset;
+  if (reason == Reason::turnedBack) ++tally_.turnedBack;
+  if (held.kind == Held::Kind::terminating) {
+    switch (reason) {
+      case Reason::processorFull:
+        return answerNo(held, Why::processorFull, false, wait, kCongestion, "processor full");
+      case Reason::lineBusy:
+        return answerNo(held, Why::lineBusy, false, Span::none(), kBusy, "all lines busy");
+      default:
+        if (ending == Ending::reset) {
+          return answerNo(held, Why::reset, false, Span::none(), kOutOfOrder, "exchange reset");
+        }
+        return answerNo(held, Why::none, false, Span::none(), kTimer, "exchange silent");
+    }
+  }
+  held.lastReason = reason;
+  held.lastEnding = ending;
+  held.lastBeyond = beyond;
+  tell(Happening::What::ended, &held, held.at,
+       ending == Ending::timedOut        ? "timed out"
+       : ending == Ending::reset         ? "reset"
+       : reason == Reason::noCircuit     ? "no circuit"
+       : reason == Reason::turnedBack    ? "turned back"
+       : reason == Reason::processorFull ? "processor full"
+       : reason == Reason::lineBusy      ? "line busy"
+                                         : "failed");
+  Event ended(Event::Kind::ended, &held, held.at, ending, reason);
+  ended.beyond = beyond;
+  ended.span = wait;
+  event(ended);
+}
+
+/// A standing session ends; `by` is the leg over which the end came, if it has not been settled yet.
+void Office::over(Held& held, bool cut, const Leg* by) {
+  held.state = Held::State::over;
+  --standing_;
+  if (cut) ++tally_.cut;
+  for (Leg* leg : {held.in, held.out}) {
+    if (leg == nullptr || leg == by) continue;
+    hangUp(*leg, cut ? Why::reset : Why::none, cut ? kOutOfOrder : kNormal);
+  }
+  if (held.kind != Held::Kind::terminating) {
+    tell(cut ? Happening::What::cut : Happening::What::ended, &held, held.at, cut ? "cut" : "");
+    Event ended(Event::Kind::ended, &held, held.at, cut ? Ending::reset : Ending::ok);
+    ended.final = true;
+    event(ended);
+  }
+}
+
+void Office::callerLeft(Held& held) {
+  const bool ringing = held.state == Held::State::ringing;
+  held.state = Held::State::over;
+  due(held, Instant::never());
+  ++tally_.abandoned;
+  if (held.out != nullptr) hangUp(*held.out, Why::none, kNormal);
+  if (held.kind != Held::Kind::terminating) {
+    event(Event(Event::Kind::abandoned, &held));
+    if (ringing) {
+      Event ended(Event::Kind::ended, &held, held.at, Ending::cancelled);
+      ended.final = true;
+      event(ended);
+    }
+  }
+  if (!std::exchange(held.queued, true)) done_.push_back(&held);
+}
+
+void Office::giveUp(Held& held) {
+  if (held.out != nullptr) hangUp(*held.out, Why::none, kTimer);
+  failed(held, Ending::timedOut, Reason::none, false, Span::none());
+}
+
+void Office::answerNo(Held& held, Why why, bool beyond, Span wait, std::uint8_t code, std::string_view text) {
+  held.state = Held::State::over;
+  if (Leg* leg = held.in) {
+    iax2::Elements e = withRoom(&held);
+    e.cause = text;
+    e.causeCode = code;
+    e.why = why;
+    if (beyond) e.beyond = true;
+    if (wait > Span::none()) e.wait = milliseconds(wait);
+    endpoint_.hangUp(now_, *leg->call, held.acceptedIn ? iax2::Iax::HANGUP : iax2::Iax::REJECT, e);
+    unlink(*leg);
+  }
+  if (!std::exchange(held.queued, true)) done_.push_back(&held);
+}
+
+void Office::reject(iax2::Call& call, Why why, std::uint8_t code, std::string_view text, Span wait) {
+  iax2::Elements e = withRoom(nullptr);
+  e.cause = text;
+  e.causeCode = code;
+  e.why = why;
+  if (wait > Span::none()) e.wait = milliseconds(wait);
+  endpoint_.hangUp(now_, call, iax2::Iax::REJECT, e);
+}
+
+/// Ends a leg on the wire. The session lets go of it; its circuits are held until the far end confirms.
+void Office::hangUp(Leg& leg, Why why, std::uint8_t code) {
+  iax2::Elements e;
+  e.causeCode = code;
+  if (why != Why::none) e.why = why;
+  endpoint_.hangUp(now_, *leg.call, iax2::Iax::HANGUP, e);
+  unlink(leg);
+}
+
+void Office::unlink(Leg& leg) {
+  if (leg.held == nullptr) return;
+  (leg.out ? leg.held->out : leg.held->in) = nullptr;
+  Held& held = *std::exchange(leg.held, nullptr);
+  if (held.in == nullptr && held.out == nullptr && !std::exchange(held.queued, true)) done_.push_back(&held);
+}
+
+/// The far end knows that the leg is over, or never will: its circuits are free.
+void Office::settle(Leg& leg) {
+  if (leg.circuits > 0) {
+    if (leg.inDoubt) leg.peer->trunk.answered(leg.circuits);
+    leg.peer->trunk.release(leg.circuits);
+    changed(*leg.peer);
+  }
+  legs_.erase(leg.self);
+}
+
+Office::Leg& Office::newLeg(Held& held, iax2::Call& call, Peer* peer, int circuits, bool out) {
+  const auto self = legs_.emplace(legs_.end(), *this, &held, call, peer, circuits, out);
+  self->self = self;
+  self->openedAt = now_;
+  call.belongTo(&*self);
+  return *self;
+}
+
+void Office::due(Held& held, Instant at) {
+  if (held.giveUpAt != Instant::never()) giveUps_.erase(&held);
+  held.giveUpAt = at;
+  if (at != Instant::never()) giveUps_.insert(&held);
+}
+
+void Office::event(Event event) { events_.push_back(event); }
+
+void Office::changed(Peer& peer) {
+  if (!std::exchange(peer.isChanged, true)) changed_.push_back(&peer);
+}
+
+/// What the own processor can take, as far as it is known; and the session, so that the far end can name it.
+iax2::Elements Office::withRoom(const Held* held) const {
+  iax2::Elements elements;
+  if (held != nullptr) elements.session = held->id;
+  if (own_->canTake >= 0 && now_ - own_->canTakeAt <= kRoomFresh) {
+    elements.canTake = static_cast<std::uint32_t>(own_->canTake * 1000);
+  }
+  return elements;
+}
+
+// ---- The module ------------------------------------------------------------------------------------------
+
+void Office::deliver(Controller& controller) {
+  for (Peer* peer : std::exchange(changed_, {})) {
+    peer->isChanged = false;
+    controller.circuits(*peer, peer->trunk.free(), peer->trunk.size());
+  }
+  for (const Event& one : std::exchange(events_, {})) {
+    switch (one.kind) {
+      case Event::Kind::incoming:
+        controller.incoming(*one.held);
+        break;
+      case Event::Kind::accepted:
+        controller.accepted(*one.held, one.span);
+        break;
+      case Event::Kind::ended:
+        controller.ended(*one.held, *one.peer, one.ending, one.reason, one.beyond, one.span, one.final);
+        break;
+      case Event::Kind::abandoned:
+        controller.abandoned(*one.held);
+        break;
+      case Event::Kind::listed:
+        controller.listed(*one.peer, one.readiness, one.instant);
+        break;
+      case Event::Kind::reported:
+        controller.reported(*one.peer, one.number);
+        break;
+      case Event::Kind::listFailed:
+        controller.listFailed();
+        break;
+    }
+  }
+}
+
+void Office::invite(const Session& session, const Exchange& to, Span giveUpAfter) {
+  Held& held = const_cast<Held&>(static_cast<const Held&>(session));
+  Peer& peer = const_cast<Peer&>(static_cast<const Peer&>(to));
+  const int width = static_cast<int>(held.width);
+  held.at = &peer;
+  held.state = Held::State::ringing;
+  iax2::Call* call = nullptr;
+  if (peer.trunk.seize(width)) {
+    changed(peer);
+    iax2::Elements e;
+    e.version = std::uint16_t{2};
+    e.calledNumber = held.called;
+    e.calledContext = fleet_.offers[held.offer].name;
+    e.session = held.id;
+    e.origin = static_cast<std::uint16_t>(setting_.place);
+    e.towards = static_cast<std::uint16_t>(held.destination->place);
+    e.width = static_cast<std::uint16_t>(width);
+    e.timeLeft = milliseconds(giveUpAfter);
+    call = endpoint_.open(now_, peer.site.office, nullptr, e);
+    if (call == nullptr) {
+      peer.trunk.answered(width);
+      peer.trunk.release(width);
+    }
+  }
+  if (call == nullptr) {
+    // Nothing was sent, so there is nothing to wait for.
+    held.state = Held::State::asked;
+    held.lastReason = Reason::noCircuit;
+    return event(Event(Event::Kind::ended, &held, &peer, Ending::moot, Reason::noCircuit));
+  }
+  held.out = &newLeg(held, *call, &peer, width, true);
+  due(held, now_ + giveUpAfter);
+  ++tally_.invites;
+  if (&peer != held.destination) ++tally_.twoLeg;
+  tell(Happening::What::invited, &held, &peer, "");
+  if (!held.acceptedIn && held.in != nullptr) {
+    held.acceptedIn = true;
+    endpoint_.send(now_, *held.in->call, iax2::Iax::ACCEPT, withRoom(&held));
+  }
+}
+
+void Office::busy(const Session& session, Span retryAfter) {
+  refuse(const_cast<Held&>(static_cast<const Held&>(session)), retryAfter);
+}
+
+void Office::surrender(const Session& session) {
+  refuse(const_cast<Held&>(static_cast<const Held&>(session)), Span::none());
+}
+
+void Office::refuse(Held& held, Span retryAfter) {
+  if (held.state == Held::State::over) return;
+  ++tally_.refused;
+  if (held.transit) {
+    // Whoever sent it here must know three things apart: that all lines of the number are busy, that what was
+    // sent beyond was reset and may still be taken (rule 5 holds for the session, not for one office), and all
+    // else, which is a turn-back.
+    if (held.lastReason == Reason::lineBusy) {
+      return answerNo(held, Why::lineBusy, false, Span::none(), kBusy, "all lines busy");
+    }
+    if (held.lastEnding == Ending::reset || held.lastEnding == Ending::timedOut) {
+      return answerNo(held, Why::reset, false, Span::none(), kOutOfOrder, "reset beyond");
+    }
+    return answerNo(held, Why::turnedBack, held.lastReason == Reason::processorFull, Span::none(), kNoCircuit,
+                    "turned back");
+  }
+  tell(Happening::What::refused, &held, held.at,
+       held.destination == nullptr              ? "no such number"
+       : held.lastReason == Reason::lineBusy    ? "line busy"
+       : held.lastEnding == Ending::timedOut    ? "no answer in time"
+       : held.lastEnding == Ending::reset       ? "reset"
+                                                : "no way in time");
+  if (held.destination == nullptr) {
+    return answerNo(held, Why::noRoute, false, Span::none(), kNoRoute, "no such number");
+  }
+  if (held.lastReason == Reason::lineBusy) {
+    return answerNo(held, Why::lineBusy, false, retryAfter, kBusy, "all lines busy");
+  }
+  if (held.lastEnding == Ending::timedOut || held.lastEnding == Ending::reset) {
+    return answerNo(held, Why::none, false, retryAfter, kTemporary, "not set up in time");
+  }
+  answerNo(held, held.lastReason == Reason::processorFull ? Why::processorFull : Why::noCircuit, false, retryAfter,
+           held.lastReason == Reason::processorFull ? kCongestion : kNoCircuit, "no way now");
+}
+
+void Office::wakeIn(Span delay) { wakeAt_ = now_ + delay; }
+
+void Office::subscribe() {
+  toDirectory_.emplace_back(fleet_.directory, std::string(kAsk));
+  askedAt_ = now_;
+}
+
+void Office::log(std::string_view text) { tell(Happening::What::strange, nullptr, nullptr, text); }
+
+void Office::tell(Happening::What what, const Held* held, const Peer* peer, std::string_view reason) const {
+  if (!watch_) return;
+  watch_({what, held == nullptr ? 0 : held->id, peer == nullptr ? std::string_view() : peer->site.name, reason});
+}
+
+// ---- Rounds ----------------------------------------------------------------------------------------------
+
+void Office::turn(Instant now, const Outlet& out) {
+  now_ = now;
+  endpoint_.expire(now);
+  while (!giveUps_.empty() && (*giveUps_.begin())->giveUpAt <= now) {
+    Held& held = **giveUps_.begin();
+    due(held, Instant::never());
+    giveUp(held);
+  }
+  if (pokeAt_ <= now) pokeWhoIsDue();
+  if (askedAt_ != Instant::never() && now - askedAt_ > kListWithin) {
+    askedAt_ = Instant::never();
+    event(Event(Event::Kind::listFailed));
+  }
+  // An INVITE that finds no circuit comes back at once and is decided on again; each costs the session one of
+  // its INVITEs, so this ends by itself.
+  while (!stopping_ && (!events_.empty() || !changed_.empty() || wakeAt_ <= now)) {
+    ++tally_.rounds;
+    if (wakeAt_ <= now) wakeAt_ = Instant::never();
+    controller_->round(now, *this, *this);
+  }
+  if (stopping_) {
+    events_.clear();
+    changed_.clear();
+  }
+  sweep();
+  endpoint_.flush(now, out);
+  for (const auto& [to, text] : std::exchange(toDirectory_, {})) {
+    out(to, {reinterpret_cast<const std::uint8_t*>(text.data()), text.size()});
+  }
+}
+
+Instant Office::nextTurn() const {
+  Instant next = std::min(endpoint_.nextDue(), pokeAt_);
+  if (!stopping_) next = std::min(next, wakeAt_);
+  if (!giveUps_.empty()) next = std::min(next, (*giveUps_.begin())->giveUpAt);
+  if (askedAt_ != Instant::never()) next = std::min(next, askedAt_ + kListWithin + Span::ms(1));
+  return next;
+}
+
+/// Frees sessions that are over. The module holds none of them any more: it has heard of their end.
+void Office::sweep() {
+  for (Held* held : std::exchange(done_, {})) {
+    held->queued = false;
+    if (held->state == Held::State::over && held->in == nullptr && held->out == nullptr) {
+      due(*held, Instant::never());
+      held_.erase(held->self);
+    }
+  }
+}
+
+void Office::stop(Instant now) {
+  if (stopping_) return;
+  now_ = now;
+  stopping_ = true;
+  for (auto it = held_.begin(); it != held_.end();) {
+    Held& held = *it++;
+    due(held, Instant::never());
+    if (held.state == Held::State::over) continue;
+    if (held.state == Held::State::standing) --standing_;
+    if (held.out != nullptr) hangUp(*held.out, Why::reset, kOutOfOrder);
+    answerNo(held, held.transit ? Why::reset : Why::none, false, Span::ms(1000), kOutOfOrder, "going out of service");
+  }
+}
+
+// ---- Other offices, the own exchange, the directory ------------------------------------------------------
+
+iax2::Elements Office::greeting(iax2::Address) {
+  iax2::Elements e = withRoom(nullptr);
+  e.origin = static_cast<std::uint16_t>(setting_.place);
+  e.started = startMark_;
+  return e;
+}
+
+void Office::pokeWhoIsDue() {
+  pokeAt_ = Instant::never();
+  for (const auto& peer : peers_) {
+    if (!peer->own && peer->trunk.size() == 0) continue;
+    const Span every = peer->own ? setting_.exchangePoke : setting_.peerPoke;
+    if (now_ - peer->pokedAt >= every) {
+      // Silence counts from the first POKE that could have been answered: an office that was not run itself has
+      // asked nobody.
+      if (now_ - peer->pokedAt > every * 3.0) peer->heardAt = now_;
+      peer->pokedAt = now_;
+      endpoint_.poke(now_, peer->own ? peer->site.processor : peer->site.office);
+      if (!peer->silent && now_ - peer->heardAt > setting_.peerSilent) lose(*peer, false);
+    }
+    pokeAt_ = std::min(pokeAt_, peer->pokedAt + every);
+  }
+}
+
+void Office::ponged(iax2::Address from, const iax2::Frame& frame) {
+  Peer* peer = nullptr;
+  if (from == own_->site.processor) {
+    peer = own_;
+    if (frame.elements.canTake) {
+      own_->canTake = *frame.elements.canTake / 1000.0;
+      own_->canTakeAt = now_;
+    }
+  } else if (const auto it = byOffice_.find(from); it != byOffice_.end()) {
+    peer = it->second;
+  }
+  if (peer == nullptr || !frame.elements.started) return;
+  if (peer->silent) tell(Happening::What::peerBack, nullptr, peer, "");
+  peer->silent = false;
+  const std::uint64_t mark = *frame.elements.started;
+  if (peer->mark != 0 && mark != peer->mark) lose(*peer, true);
+  peer->mark = mark;
+  peer->heardAt = now_;
+}
+
+/// A peer was started anew and knows none of its sessions, or has been silent for too long.
+void Office::lose(Peer& peer, bool restarted) {
+  tell(Happening::What::peerLost, nullptr, &peer, restarted ? "started anew" : "silent");
+  peer.silent = !restarted;
+  std::vector<Leg*> lost;
+  for (Leg& leg : legs_) {
+    if (leg.peer == &peer) lost.push_back(&leg);
+  }
+  for (Leg* leg : lost) {
+    // Opened after its last sign of life under the old mark: it may belong to the new one. A probe tells, as it
+    // is answered INVAL by one that does not know the call.
+    if (restarted && leg->openedAt > peer.heardAt) {
+      endpoint_.send(now_, *leg->call, iax2::Iax::PING);
+      continue;
+    }
+    if (restarted) {
+      endpoint_.forget(*leg->call);
+      gone(*leg, iax2::Gone::unknown);
+    } else {
+      cutLeg(*leg);
+    }
+  }
+}
+
+/// The circuits under a leg are gone.
+void Office::cutLeg(Leg& leg) {
+  Held* held = leg.held;
+  if (held == nullptr) return;  // it is being ended already
+  const bool out = leg.out;
+  hangUp(leg, Why::reset, kOutOfOrder);
+  if (held->state == Held::State::standing) {
+    over(*held, true, nullptr);
+  } else if (!out) {
+    callerLeft(*held);
+  } else {
+    failed(*held, Ending::reset, Reason::none, false, Span::none());
+  }
+}
+
+/// Where more is held than is left, the controlling end cuts the newest sessions; the other end hears of each.
+void Office::resize(Peer& peer, int circuits) {
+  if (peer.trunk.size() == circuits) return;
+  peer.trunk.resize(circuits);
+  changed(peer);
+  if (!peer.trunk.controlling()) return;
+  int over = peer.trunk.over();
+  for (auto leg = legs_.rbegin(); leg != legs_.rend() && over > 0; ++leg) {
+    if (leg->peer != &peer || leg->circuits == 0) continue;
+    over -= leg->circuits;
+    cutLeg(*leg);
+  }
+}
+
+void Office::list(const ExchangeList& list) {
+  if (std::pair(list.directory, list.version) <= std::pair(listFrom_, listVersion_)) {
+    ++tally_.listsStale;
+    return;
+  }
+  listFrom_ = list.directory;
+  listVersion_ = list.version;
+  askedAt_ = Instant::never();
+  ++tally_.listsTaken;
+  const auto tellModule = [&](Peer& peer, Readiness readiness, Instant started) {
+    if (peer.told == readiness && peer.started == started) return;
+    peer.told = readiness;
+    tell(Happening::What::listed, nullptr, &peer,
+         readiness == Readiness::ready ? "ready" : readiness == Readiness::draining ? "draining" : "gone");
+    Event listed(Event::Kind::listed);
+    listed.peer = &peer;
+    listed.readiness = readiness;
+    listed.instant = started;
+    event(listed);
+  };
+  std::vector<bool> named(peers_.size());
+  for (const Listing& one : list.listings) {
+    if (static_cast<std::size_t>(one.place) >= peers_.size()) continue;
+    Peer& peer = *peers_[static_cast<std::size_t>(one.place)];
+    named[static_cast<std::size_t>(one.place)] = true;
+    const bool same = peer.start == one.start;
+    peer.start = one.start;
+    tellModule(peer, one.readiness, same ? peer.started : now_ - one.age);
+  }
+  for (const GroupSize& group : list.groups) {
+    const int other = group.a == setting_.place ? group.b : group.b == setting_.place ? group.a : -1;
+    if (other < 0 || static_cast<std::size_t>(other) >= peers_.size() || other == setting_.place) continue;
+    resize(*peers_[static_cast<std::size_t>(other)], group.circuits);
+  }
+  if (!list.full) return;
+  for (std::size_t i = 0; i < peers_.size(); ++i) {
+    if (!named[i]) tellModule(*peers_[i], Readiness::gone, peers_[i]->started);
+  }
+}
+
+const Trunk* Office::trunk(int place) const {
+  const Peer& peer = *peers_[static_cast<std::size_t>(place)];
+  return peer.own || peer.trunk.size() == 0 ? nullptr : &peer.trunk;
+}
+
+Readiness Office::told(int place) const { return peers_[static_cast<std::size_t>(place)]->told; }
+
+std::string Office::report(Instant now) const {
+  std::ostringstream out;
+  out << "{\"office\":\"" << own_->site.name << "\",\"up_ms\":" << static_cast<std::int64_t>((now - started_).ms())
+      << ",\"stopping\":" << (stopping_ ? "true" : "false") << ",\"sessions\":" << held_.size()
+      << ",\"standing\":" << standing_ << ",\"legs\":" << legs_.size();
+  const std::pair<const char*, std::uint64_t> counts[] = {
+      {"dialled", tally_.dialled},         {"transit", tally_.transit},     {"terminating", tally_.terminating},
+      {"invites", tally_.invites},         {"two_leg", tally_.twoLeg},      {"stood", tally_.stood},
+      {"refused", tally_.refused},         {"abandoned", tally_.abandoned}, {"cut", tally_.cut},
+      {"turned_back", tally_.turnedBack},  {"no_circuit", tally_.noCircuit}, {"timed_out", tally_.timedOut},
+      {"reset", tally_.reset},             {"over_full", tally_.overFull},  {"rounds", tally_.rounds},
+      {"lists", tally_.listsTaken},        {"lists_stale", tally_.listsStale}, {"unreadable", tally_.unreadable},
+      {"datagrams_in", wire().received},   {"datagrams_out", wire().sent},  {"malformed", wire().malformed},
+      {"retransmitted", wire().retransmitted}, {"unknown_call", wire().unknownCall}, {"repeated", wire().repeated}};
+  for (const auto& [name, count] : counts) out << ",\"" << name << "\":" << count;
+  out << ",\"exchanges\":[";
+  for (std::size_t i = 0; i < peers_.size(); ++i) {
+    const Peer& peer = *peers_[i];
+    out << (i > 0 ? "," : "") << "{\"exchange\":\"" << peer.site.name << "\",\"listed\":\""
+        << (peer.told == Readiness::ready      ? "ready"
+            : peer.told == Readiness::draining ? "draining"
+                                               : "gone")
+        << "\",\"own\":" << (peer.own ? "true" : "false") << ",\"circuits\":" << peer.trunk.size()
+        << ",\"free\":" << peer.trunk.free() << ",\"silent\":" << (peer.silent ? "true" : "false")
+        << ",\"doubtful\":" << (peer.doubtful ? "true" : "false") << ",\"ringing\":" << peer.ringing.size() << '}';
+  }
+  out << "]}";
+  return out.str();
+}
+
+}  // namespace thistlefold
--- /dev/null
+++ b/src/office/office.hpp
@@ -0,0 +1,170 @@
+#pragma once
+
+// The session engine of one office, between the signalling and the module. Free of I/O, clock and threads.
+// Frames become the module's Arrivals, the module's Writer becomes frames. Routes nothing by itself: every INVITE
+// that leaves an office was written by the module, but for the last step from the destination's office into its
+// own exchange, where there is nothing left to choose.
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "fleet/fleet.hpp"
+#include "iax2/endpoint.hpp"
+#include "office/list.hpp"
+#include "office/trunk.hpp"
+#include "station.hpp"
+#include "thistlefold/controller.hpp"
+
+namespace thistlefold {
+
+/// What an office tells those who watch it. Logs are written from this; nothing flows back.
+struct Happening {
+  enum class What { taken, invited, stood, ended, refused, cut, peerLost, peerBack, listed, strange };
+  What what;
+  std::uint64_t session = 0;
+  std::string_view exchange;  // the other place involved, or empty
+  std::string_view reason;
+};
+using Watch = std::function<void(const Happening&)>;
+
+/// Makes the controller; a rogue one is put in its place by tests of the audit.
+using MakeController = std::function<std::unique_ptr<Controller>(const OfficeData&, std::uint64_t seed)>;
+
+/// Bounds and spans of one office that are not the fleet's.
+struct OfficeSetting {
+  int place = 0;
+  std::uint64_t seed = 1;
+  std::size_t mostSessions = 20000;     // held at once; a NEW beyond is refused at once, counted
+  Span peerPoke = Span::ms(1000);       // how often other offices are asked for a sign of life
+  Span peerSilent = Span::ms(6000);     // silence after which sessions over a peer are given up: six signs missed
+  Span exchangePoke = Span::ms(300);
+  iax2::Patience patience;
+};
+
+/// Counts since the start; all are sums over sessions unless said otherwise.
+struct OfficeTally {
+  std::uint64_t dialled = 0, transit = 0, terminating = 0, invites = 0, twoLeg = 0, stood = 0, refused = 0,
+                abandoned = 0, cut = 0, turnedBack = 0, noCircuit = 0, timedOut = 0, reset = 0, overFull = 0,
+                rounds = 0, listsTaken = 0, listsStale = 0, unreadable = 0;
+};
+
+class Office final : public Station,
+                     private iax2::Door,
+                     private Arrivals,
+                     private Writer {
+ public:
+  /// `fleet` must outlive the office.
+  Office(const Fleet& fleet, OfficeSetting setting, Instant now, const MakeController& make = openOffice,
+         Watch watch = {});
+  ~Office() override;
+
+  void take(Instant now, iax2::Address from, std::span<const std::uint8_t> datagram) override;
+  void turn(Instant now, const Outlet& out) override;
+  Instant nextTurn() const override;
+
+  /// Takes nothing new from now on and ends all it holds, each with one answer.
+  void stop(Instant now);
+  /// Everything has been ended and confirmed, or given up.
+  bool stopped() const { return stopping_ && legs_.empty() && held_.empty(); }
+
+  const OfficeTally& tally() const { return tally_; }
+  const iax2::Counts& wire() const { return endpoint_.counts(); }
+  std::size_t sessions() const { return held_.size(); }
+  std::size_t standing() const { return standing_; }
+  /// This end's count of the group to `place`; null where there is none.
+  const Trunk* trunk(int place) const;
+  Readiness told(int place) const;
+  /// The state as one JSON object, for `thistlefold status`.
+  std::string report(Instant now) const;
+
+ private:
+  struct Held;
+  struct Leg;
+  struct Peer;
+  struct Event;
+
+  // Door
+  void opened(iax2::Call& call, const iax2::Frame& frame) override;
+  void ponged(iax2::Address from, const iax2::Frame& frame) override;
+  iax2::Elements greeting(iax2::Address to) override;
+  // Arrivals
+  void deliver(Controller& controller) override;
+  // Writer
+  void invite(const Session& session, const Exchange& to, Span giveUpAfter) override;
+  void busy(const Session& session, Span retryAfter) override;
+  void surrender(const Session& session) override;
+  void wakeIn(Span delay) override;
+  void subscribe() override;
+  void log(std::string_view text) override;
+
+  void fromCaller(iax2::Call& call, const iax2::Frame& frame);
+  void fromPeer(Peer& peer, iax2::Call& call, const iax2::Frame& frame);
+  void terminate(Held& held);
+  void heard(Leg& leg, const iax2::Frame& frame);
+  void gone(Leg& leg, iax2::Gone how);
+  void answered(Held& held);
+  void failed(Held& held, Ending ending, Reason reason, bool beyond, Span wait);
+  void over(Held& held, bool cut, const Leg* by);
+  void callerLeft(Held& held);
+  void giveUp(Held& held);
+  void reject(iax2::Call& call, iax2::Why why, std::uint8_t code, std::string_view text, Span wait);
+  void refuse(Held& held, Span retryAfter);
+  void answerNo(Held& held, iax2::Why why, bool beyond, Span wait, std::uint8_t code, std::string_view text);
+  void hangUp(Leg& leg, iax2::Why why, std::uint8_t code);
+  void settle(Leg& leg);
+  void unlink(Leg& leg);
+  void due(Held& held, Instant at);
+  void list(const ExchangeList& list);
+  void resize(Peer& peer, int circuits);
+  void cutLeg(Leg& leg);
+  void lose(Peer& peer, bool restarted);
+  void pokeWhoIsDue();
+  Leg& newLeg(Held& held, iax2::Call& call, Peer* peer, int circuits, bool out);
+  Held& newHeld(std::uint64_t id, const iax2::Frame& frame, std::size_t service);
+  void event(Event event);
+  void changed(Peer& peer);
+  void tell(Happening::What what, const Held* held, const Peer* peer, std::string_view reason) const;
+  iax2::Elements withRoom(const Held* held) const;
+  void sweep();
+
+  const Fleet& fleet_;
+  OfficeSetting setting_;
+  Watch watch_;
+  Instant now_;
+  Instant started_;
+  iax2::Endpoint endpoint_;
+  std::vector<std::unique_ptr<Peer>> peers_;  // by place; the own one among them
+  std::unordered_map<iax2::Address, Peer*> byOffice_;
+  Peer* own_ = nullptr;
+  std::unique_ptr<Controller> controller_;
+  std::list<Held> held_;
+  std::list<Leg> legs_;
+  std::vector<Held*> done_;
+  struct Sooner {
+    bool operator()(const Held* a, const Held* b) const;
+  };
+  std::set<Held*, Sooner> giveUps_;
+  std::vector<Event> events_;
+  std::vector<Peer*> changed_;
+  std::vector<std::pair<iax2::Address, std::string>> toDirectory_;
+  Instant wakeAt_ = Instant::longAgo();
+  Instant pokeAt_ = Instant::longAgo();
+  Instant askedAt_ = Instant::never();
+  std::uint64_t listFrom_ = 0;
+  std::uint64_t listVersion_ = 0;
+  std::uint64_t startMark_;
+  std::uint32_t serial_ = 0;
+  std::size_t standing_ = 0;
+  bool stopping_ = false;
+  OfficeTally tally_;
+};
+
+}  // namespace thistlefold
--- /dev/null
+++ b/src/standins/directory.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+// A stand-in for the directory: knows which processors run, tells offices seconds late, can fail.
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "office/list.hpp"
+#include "station.hpp"
+
+namespace thistlefold {
+
+class DirectoryStandIn final : public Station {
+ public:
+  /// `offices`: whom it tells without being asked. All exchanges count as ready and long started.
+  DirectoryStandIn(std::vector<iax2::Address> offices, std::size_t exchanges, Instant now);
+
+  void take(Instant now, iax2::Address from, std::span<const std::uint8_t> datagram) override;
+  void turn(Instant now, const Outlet& out) override;
+  Instant nextTurn() const override;
+
+  /// What is true from now on; told after `notice`. `start` is the mark of the processor that runs there.
+  void learns(Instant now, int place, Readiness readiness, std::uint64_t start, Span notice);
+  /// A group has so many circuits from now on; told at once.
+  void resized(Instant now, GroupSize group);
+  /// Says nothing until then.
+  void failUntil(Instant until) { failedUntil_ = until; }
+
+ private:
+  struct Known {
+    Readiness readiness = Readiness::ready;
+    std::uint64_t start = 1;
+    Instant started;
+  };
+  struct Later {
+    int place;
+    Known known;
+  };
+  Listing listing(int place, Instant now) const;
+  void push(Instant now, const Outlet& out, const std::vector<int>& changed);
+
+  std::vector<iax2::Address> offices_;
+  std::vector<Known> told_;
+  std::multimap<Instant, Later> later_;
+  std::vector<GroupSize> groups_;
+  std::vector<iax2::Address> asked_;
+  Instant fullAt_;
+  Instant failedUntil_ = Instant::longAgo();
+  std::uint64_t id_;
+  std::uint64_t version_ = 0;
+};
+
+}  // namespace thistlefold
--- /dev/null
+++ b/src/standins/exchange.cpp
@@ -0,0 +1,221 @@
+#include "standins/exchange.hpp"
+
+#include <algorithm>
+
+namespace thistlefold {
+
+struct ExchangeStandIn::Taken : iax2::CallOwner {
+  Taken(ExchangeStandIn& at, std::uint64_t k, iax2::Call& on) : exchange(at), key(k), call(&on) {}
+  void heard(iax2::Call&, const iax2::Frame&) override {}
+  void gone(iax2::Call&, iax2::Gone) override {
+    call = nullptr;
+    if (stands) {
+      stands = false;
+      --exchange.standing_;
+      ++exchange.tally_.ended;
+    }
+    if (!called.empty()) {
+      const auto lines = exchange.inUse_.find(called);
+      if (lines != exchange.inUse_.end()) --lines->second;
+    }
+    // Work in progress runs on; a set-up that still waits is dropped, a release is work of its own.
+    if (wasUp) {
+      exchange.enqueue({Work::release, key});
+    } else {
+      exchange.taken_.erase(key);
+    }
+  }
+
+  ExchangeStandIn& exchange;
+  std::uint64_t key;
+  iax2::Call* call;
+  std::string called;  // set while it holds one of few lines
+  std::string number;
+  bool stands = false;
+  bool wasUp = false;
+};
+
+ExchangeStandIn::ExchangeStandIn(ProcessorModel model, std::uint64_t seed, Instant now, bool warm)
+    : model_(std::move(model)),
+      now_(now),
+      started_(warm ? now - model_.warmAfter : now),
+      mark_(static_cast<std::uint64_t>((now - Instant()).ms() * 1000) + seed % 1000),
+      endpoint_(*this, seed ^ mark_) {}
+
+ExchangeStandIn::~ExchangeStandIn() = default;
+
+void ExchangeStandIn::take(Instant now, iax2::Address from, std::span<const std::uint8_t> datagram) {
+  now_ = now;
+  if (!silent_ && !fallen_) endpoint_.receive(now, from, datagram);
+}
+
+void ExchangeStandIn::turn(Instant now, const Outlet& out) {
+  // Work finishes at its own instant, whenever this is called.
+  while (busy_ && doneAt_ <= now) {
+    now_ = doneAt_;
+    const Job job = current_;
+    busy_ = false;
+    doneAt_ = Instant::never();
+    finishJob(job);
+    startNext();
+  }
+  now_ = now;
+  startNext();
+  endpoint_.expire(now);
+  endpoint_.flush(now, [&](iax2::Address to, std::span<const std::uint8_t> datagram) {
+    if (!silent_ && !fallen_) out(to, datagram);
+  });
+}
+
+Instant ExchangeStandIn::nextTurn() const { return std::min(doneAt_, endpoint_.nextDue()); }
+
+void ExchangeStandIn::hang(Instant now, bool hung) {
+  now_ = now;
+  hung_ = hung;
+  if (hung) {
+    // What was in work is lost, as with a processor that loops.
+    busy_ = false;
+    doneAt_ = Instant::never();
+  }
+}
+
+void ExchangeStandIn::lose(Instant now, double share) {
+  now_ = now;
+  std::vector<std::uint64_t> keys;
+  for (const auto& [key, taken] : taken_) {
+    if (taken->stands) keys.push_back(key);
+  }
+  std::sort(keys.begin(), keys.end());
+  double owed = 0;
+  for (const std::uint64_t key : keys) {
+    owed += share;
+    if (owed < 1) continue;
+    owed -= 1;
+    Taken& taken = *taken_[key];
+    ++tally_.cut;
+    iax2::Elements e;
+    e.causeCode = std::uint8_t{38};
+    e.why = iax2::Why::reset;
+    endpoint_.hangUp(now, *taken.call, iax2::Iax::HANGUP, e);
+  }
+}
+
+void ExchangeStandIn::opened(iax2::Call& call, const iax2::Frame& frame) {
+  ++tally_.setUps;
+  sent_.push_back(now_);
+  while (now_ - sent_.front() > model_.tipAfter) sent_.pop_front();
+  const double canDo = 1000.0 / model_.setUpWork * speed() * model_.tipAfter.ms() / 1000;
+  if (now_ - started_ < model_.warmAfter && static_cast<double>(sent_.size()) > model_.fallMultiple * canDo) {
+    fallen_ = true;
+    return;
+  }
+  const std::uint64_t key = ++serial_;
+  auto made = std::make_unique<Taken>(*this, key, call);
+  made->number = frame.elements.calledNumber;
+  call.belongTo(made.get());
+  taken_[key] = std::move(made);
+  enqueue({wait() > model_.longestWait ? Work::turnAway : Work::setUp, key});
+}
+
+iax2::Elements ExchangeStandIn::greeting(iax2::Address) {
+  iax2::Elements e = hung_ ? iax2::Elements() : told();
+  e.started = mark_;
+  return e;
+}
+
+double ExchangeStandIn::speed() const {
+  const double age = std::clamp((now_ - started_) / model_.warmAfter, 0.0, 1.0);
+  return (model_.coldFrom + (1 - model_.coldFrom) * age) / slow_;
+}
+
+double ExchangeStandIn::cost(Work work) const {
+  const double warm = work == Work::setUp      ? model_.setUpWork
+                      : work == Work::turnAway ? model_.turnAwayWork
+                                               : model_.followWork;
+  return warm / speed();
+}
+
+void ExchangeStandIn::enqueue(Job job) {
+  (job.work == Work::setUp ? waiting_ : urgent_).push_back(job);
+  startNext();
+}
+
+void ExchangeStandIn::startNext() {
+  while (!busy_ && !hung_ && (!urgent_.empty() || !waiting_.empty())) {
+    std::deque<Job>& line = urgent_.empty() ? waiting_ : urgent_;
+    current_ = line.front();
+    line.pop_front();
+    if (current_.work == Work::setUp && !taken_.contains(current_.session)) {
+      ++tally_.dropped;
+      continue;
+    }
+    busy_ = true;
+    const Span takes = Span::ms(cost(current_.work));
+    doneAt_ = now_ + takes;
+    worked_.emplace_back(doneAt_, takes.ms());
+    while (now_ - worked_.front().first > Span::ms(1000)) worked_.pop_front();
+  }
+}
+
+void ExchangeStandIn::finishJob(const Job& job) {
+  const auto it = taken_.find(job.session);
+  if (it == taken_.end()) return;
+  Taken& taken = *it->second;
+  switch (job.work) {
+    case Work::setUp: {
+      const auto few = model_.lines.find(taken.number);
+      if (few != model_.lines.end() && inUse_[taken.number] >= few->second) {
+        ++tally_.linesBusy;
+        return refuse(taken, iax2::Why::lineBusy, 17, Span::none());
+      }
+      if (few != model_.lines.end()) {
+        ++inUse_[taken.number];
+        taken.called = taken.number;
+      }
+      taken.wasUp = true;
+      endpoint_.send(now_, *taken.call, iax2::Iax::ACCEPT, told());
+      enqueue({Work::answer, job.session});
+      return;
+    }
+    case Work::turnAway:
+      ++tally_.turnedAway;
+      return refuse(taken, iax2::Why::processorFull, 42, wait());
+    case Work::answer:
+      if (taken.call == nullptr) return;
+      taken.stands = true;
+      ++standing_;
+      ++tally_.stood;
+      endpoint_.send(now_, *taken.call, iax2::Control::answer);
+      return;
+    case Work::release:
+      taken_.erase(it);
+      return;
+  }
+}
+
+void ExchangeStandIn::refuse(Taken& taken, iax2::Why why, std::uint8_t code, Span wait) {
+  if (taken.call == nullptr) return;
+  iax2::Elements e = told();
+  e.why = why;
+  e.causeCode = code;
+  if (wait > Span::none()) e.wait = static_cast<std::uint32_t>(wait.ms());
+  endpoint_.hangUp(now_, *taken.call, iax2::Iax::REJECT, e);
+}
+
+Span ExchangeStandIn::wait() const {
+  double ms = busy_ ? std::max(0.0, (doneAt_ - now_).ms()) : 0;
+  for (const Job& job : urgent_) ms += cost(job.work);
+  ms += static_cast<double>(waiting_.size()) * cost(Work::setUp);
+  return Span::ms(ms);
+}
+
+iax2::Elements ExchangeStandIn::told() const {
+  double used = 0;
+  for (const auto& [at, ms] : worked_) used += now_ - at <= Span::ms(1000) ? ms : 0;
+  const double whole = speed() * 1000 / (model_.setUpWork + 2 * model_.followWork);
+  iax2::Elements e;
+  e.canTake = static_cast<std::uint32_t>(1000 * whole * std::clamp(1 - used / 1000, 0.0, 1.0));
+  return e;
+}
+
+}  // namespace thistlefold
