--- a/src/audit/ladder.cpp
+++ b/src/audit/ladder.cpp
@@ -70,4 +70,15 @@
   return count;
 }
 
+std::vector<std::uint64_t> sessions(const std::string& capturePath) {
+  std::vector<std::uint64_t> all;
+  std::set<std::uint64_t> known;
+  capture::read(capturePath, [&](const capture::Packet& packet) {
+    iax2::Frame frame;
+    if (iax2::decode(packet.payload, frame) != iax2::Reading::full || !frame.elements.session) return;
+    if (known.insert(*frame.elements.session).second) all.push_back(*frame.elements.session);
+  });
+  return all;
+}
+
 }  // namespace thistlefold::audit
--- a/src/audit/ladder.hpp
+++ b/src/audit/ladder.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <ostream>
 #include <string>
+#include <vector>
 
 #include "fleet/fleet.hpp"
 
@@ -12,4 +13,7 @@
 /// Throws std::runtime_error where the capture can't be read.
 std::size_t ladder(const Fleet& fleet, const std::string& capturePath, std::uint64_t session, std::ostream& out);
 
+/// The sessions that a capture names, in order of appearance.
+std::vector<std::uint64_t> sessions(const std::string& capturePath);
+
 }  // namespace thistlefold::audit
--- a/src/net/real.cpp
+++ b/src/net/real.cpp
@@ -20,8 +20,9 @@
 }
 
 Steady::time_point timePoint(Instant at) {
-  // Far beyond any session; the clock's own maximum would overflow when something is added to it.
-  const double ms = std::min((at - Instant()).ms(), 1e14);
+  // Thirty years: far beyond any session, and in nanoseconds still within the clock's 64 bits. Past them the wait
+  // would be over at once and its coroutine spin.
+  const double ms = std::min((at - Instant()).ms(), 1e12);
   return Steady::time_point(std::chrono::duration_cast<Steady::duration>(
       std::chrono::duration<double, std::milli>(std::max(ms, 0.0))));
 }
