--- /dev/null
+++ b/bench/office_bench.cpp
@@ -0,0 +1,233 @@
+// What a session costs an office: the real engine and module, no sockets, against the same loop with a controller that
+// always goes direct, and the pieces of the signalling by themselves. All peers are simulated here.
+
+#include <benchmark/benchmark.h>
+
+#include <deque>
+#include <malloc.h>
+
+#include "office/office.hpp"
+
+using namespace thistlefold;
+
+namespace {
+
+/// Goes direct and answers; decides nothing. The baseline.
+class AlwaysDirect final : public Controller {
+ public:
+  void round(Instant now, Arrivals& arrivals, Writer& writer) override {
+    writer_ = &writer;
+    arrivals.deliver(*this);
+    for (Session* session : std::exchange(inHand_, {})) {
+      if (session->over) continue;
+      if (session->destination != nullptr && now < session->timerLimit && session->invites++ == 0) {
+        writer.invite(*session, *session->destination, session->timerLimit - now);
+      } else {
+        session->over = true;
+        writer.busy(*session, Span::none());
+      }
+    }
+    writer.wakeIn(Span::ms(100));
+  }
+  void listed(Exchange&, Readiness, Instant) override {}
+  void listFailed() override {}
+  void circuits(Exchange&, double, double) override {}
+  void reported(Exchange&, double) override {}
+  void incoming(Session& session) override { inHand_.push_back(&session); }
+  void accepted(Session&, Span) override {}
+  void ended(Session& session, Exchange&, Ending, Reason, bool, Span, bool final) override {
+    if (final) session.over = true;
+    if (!final) inHand_.push_back(&session);
+  }
+  void abandoned(Session& session) override { session.over = true; }
+
+ private:
+  Writer* writer_ = nullptr;
+  std::vector<Session*> inHand_;
+};
+
+Fleet fleetOf(int places) {
+  Fleet fleet;
+  fleet.offers = {{"call", 1}};
+  Service service;
+  service.postDialTarget = Span::ms(2000);
+  service.timerLimit = Span::ms(9000);
+  service.meanHold = Span::ms(1000);
+  fleet.data.services = {service};
+  fleet.data.maxInvites = 6;
+  fleet.data.clearWait = Span::ms(300);
+  fleet.directory = {9, 9};
+  for (int i = 0; i < places; ++i) {
+    Place place;
+    place.name = "e" + std::to_string(i);
+    place.numbers = std::to_string(1000 + i);
+    place.office = {100, static_cast<std::uint16_t>(i + 1)};
+    place.processor = {200, static_cast<std::uint16_t>(i + 1)};
+    fleet.places.push_back(place);
+    // Wide enough that every session finds a circuit: this measures work, not blocking.
+    for (int j = 0; j < i; ++j) fleet.groups.push_back({j, i, 30000});
+  }
+  return fleet;
+}
+
+/// The far ends: callers and other offices in one, each an endpoint of its own.
+struct FarEnd final : iax2::Door, iax2::CallOwner {
+  explicit FarEnd(std::uint64_t seed) : endpoint(*this, seed, patience()) {}
+  static iax2::Patience patience() {
+    iax2::Patience short_;
+    // Sessions follow each other so fast here that numbers that linger for ten seconds would run out.
+    short_.linger = Span::ms(500);
+    return short_;
+  }
+  void opened(iax2::Call& call, const iax2::Frame&) override {
+    call.belongTo(this);
+    endpoint.send(now, call, iax2::Iax::ACCEPT);
+    endpoint.send(now, call, iax2::Control::answer);
+  }
+  void ponged(iax2::Address, const iax2::Frame&) override {}
+  iax2::Elements greeting(iax2::Address) override {
+    iax2::Elements e;
+    e.started = 1u;
+    return e;
+  }
+  void heard(iax2::Call& call, const iax2::Frame& frame) override {
+    if (frame.is(iax2::Control::answer)) standing.push_back(&call);
+  }
+  void gone(iax2::Call&, iax2::Gone) override {}
+
+  iax2::Endpoint endpoint;
+  Instant now;
+  std::deque<iax2::Call*> standing;
+};
+
+const iax2::Address kOffice{1, 1}, kCaller{2, 2};
+
+struct Bench {
+  Bench(int places, const MakeController& make) : fleet(fleetOf(places)), office(fleet, setting(), now, make) {
+    ExchangeList list{1, 1, true, {}, {}};
+    for (int i = 0; i < places; ++i) list.listings.push_back({i, Readiness::ready, 1, Span::ms(1e6)});
+    const std::string text = encode(list);
+    office.take(now, fleet.directory, {reinterpret_cast<const std::uint8_t*>(text.data()), text.size()});
+    exchange(4);
+  }
+  static OfficeSetting setting() {
+    OfficeSetting setting;
+    setting.mostSessions = 100000;
+    setting.patience.mostCalls = 200000;
+    setting.patience.linger = Span::ms(500);
+    return setting;
+  }
+  /// Everything that is to go passes to and fro, `times` over.
+  void exchange(int times) {
+    for (int i = 0; i < times; ++i) {
+      now = now + Span::ms(0.2);
+      far.now = callers.now = now;
+      callers.endpoint.expire(now);
+      callers.endpoint.flush(now, [&](iax2::Address, iax2::Bytes bytes) { office.take(now, kCaller, bytes); });
+      far.endpoint.expire(now);
+      far.endpoint.flush(now, [&](iax2::Address, iax2::Bytes) {});
+      for (auto& [from, bytes] : std::exchange(toOffice, {})) office.take(now, from, bytes);
+      office.turn(now, [&](iax2::Address to, iax2::Bytes bytes) {
+        if (to == kCaller) return callers.endpoint.receive(now, kOffice, bytes);
+        // The far end must see different peers; its endpoint answers each from where it was asked.
+        peer = to;
+        far.endpoint.receive(now, {to.ip, to.port}, bytes);
+        far.endpoint.flush(now, [&](iax2::Address from, iax2::Bytes reply) {
+          toOffice.emplace_back(from, std::vector<std::uint8_t>(reply.begin(), reply.end()));
+        });
+      });
+    }
+  }
+  void dial() {
+    iax2::Elements e;
+    const std::size_t to = 1 + serial % (fleet.places.size() - 1);
+    number = fleet.places[to].numbers + std::to_string(serial++ % 10000);
+    e.calledNumber = number;
+    e.calledContext = "call";
+    e.timeLeft = 9000u;
+    callers.now = now;
+    callers.endpoint.open(now, kOffice, &callers, e);
+  }
+  void hangUpOldest() {
+    if (callers.standing.empty()) return;
+    callers.endpoint.hangUp(now, *callers.standing.front(), iax2::Iax::HANGUP, {});
+    callers.standing.pop_front();
+  }
+
+  Instant now = Instant::ms(1000);
+  Fleet fleet;
+  FarEnd callers{1}, far{2};
+  Office office;
+  iax2::Address peer;
+  std::vector<std::pair<iax2::Address, std::vector<std::uint8_t>>> toOffice;
+  std::string number;
+  std::size_t serial = 0;
+};
+
+std::unique_ptr<Controller> direct(const OfficeData&, std::uint64_t) { return std::make_unique<AlwaysDirect>(); }
+
+/// A session from NEW to the confirmed HANGUP, ten a round.
+void session(benchmark::State& state, const MakeController& make) {
+  Bench bench(static_cast<int>(state.range(0)), make);
+  constexpr int kAtOnce = 10;
+  for (auto _ : state) {
+    for (int i = 0; i < kAtOnce; ++i) bench.dial();
+    bench.exchange(4);
+    for (int i = 0; i < kAtOnce; ++i) bench.hangUpOldest();
+    bench.exchange(2);
+  }
+  state.SetItemsProcessed(state.iterations() * kAtOnce);
+  state.counters["stood"] = static_cast<double>(bench.office.tally().stood) / static_cast<double>(bench.serial);
+}
+
+void sessionByModule(benchmark::State& state) { session(state, openOffice); }
+void sessionDirect(benchmark::State& state) { session(state, direct); }
+
+void memoryStanding(benchmark::State& state) {
+  for (auto _ : state) {
+    auto bench = std::make_unique<Bench>(6, openOffice);
+    // Both far ends keep state too; what they keep is measured the same way and taken off by halves.
+    const std::size_t before = ::mallinfo2().uordblks;
+    const std::size_t callsBefore = bench->callers.endpoint.calls() + bench->far.endpoint.calls();
+    for (int i = 0; i < 1000; ++i) {
+      for (int k = 0; k < 10; ++k) bench->dial();
+      bench->exchange(4);
+    }
+    const std::size_t after = ::mallinfo2().uordblks;
+    const auto standing = static_cast<double>(bench->office.standing());
+    const auto others = static_cast<double>(bench->callers.endpoint.calls() + bench->far.endpoint.calls() - callsBefore);
+    state.counters["standing"] = standing;
+    state.counters["bytes_a_session_with_far_ends"] = static_cast<double>(after - before) / standing;
+    state.counters["far_end_calls_a_session"] = others / standing;
+  }
+}
+
+void decodeNew(benchmark::State& state) {
+  iax2::Elements e;
+  e.version = std::uint16_t{2};
+  e.calledNumber = "10010001";
+  e.calledContext = "status-check";
+  e.session = 1u;
+  e.timeLeft = 9000u;
+  const auto wire = iax2::encode(iax2::Head(), e);
+  iax2::Frame frame;
+  for (auto _ : state) benchmark::DoNotOptimize(iax2::decode(wire, frame));
+}
+
+void encodeNew(benchmark::State& state) {
+  iax2::Elements e;
+  e.calledNumber = "10010001";
+  e.calledContext = "status-check";
+  e.session = 1u;
+  e.timeLeft = 9000u;
+  for (auto _ : state) benchmark::DoNotOptimize(iax2::encode(iax2::Head(), e));
+}
+
+}  // namespace
+
+BENCHMARK(sessionByModule)->Arg(6)->Arg(30)->Arg(90);
+BENCHMARK(sessionDirect)->Arg(6)->Arg(30)->Arg(90);
+BENCHMARK(memoryStanding)->Iterations(1);
+BENCHMARK(decodeNew);
+BENCHMARK(encodeNew);
+BENCHMARK_MAIN();
--- /dev/null
+++ b/days/hang.sexp
@@ -0,0 +1,6 @@
+; A processor takes set-ups and answers none.
+(day hang
+  (seed 8) (length 12000) (notice 1200)
+  (fleet "town.fleet")
+  (callers (rate 32) (share status-check 0.89) (share proof-pull 0.11) (redials 2) (backoff 700))
+  (at 3000 (hang e2 5000)))
