--- a/src/day/script.cpp
+++ b/src/day/script.cpp
@@ -311,9 +311,19 @@
   // How much goes from each office to each exchange.
   std::vector<double> pairs(count * count);
   std::normal_distribution<double> normal(0, plan.pairSpread);
+  std::vector<double> usual(count, 1.0);
   for (std::size_t i = 0; i < count; ++i) {
     for (std::size_t j = 0; j < count; ++j) pairs[i * count + j] = i == j ? 0 : std::exp(normal(chance));
   }
+  if (!plan.pairs.empty()) {
+    pairs = plan.pairs;
+    double all = 0;
+    for (std::size_t i = 0; i < count * count; ++i) all += pairs[i];
+    for (std::size_t i = 0; i < count; ++i) {
+      usual[i] = 0;
+      for (std::size_t j = 0; j < count; ++j) usual[i] += pairs[i * count + j] * static_cast<double>(count) / all;
+    }
+  }
   std::vector<double> offices(count, 1.0);
   const auto during = [](const Trouble& one, Span at) { return at >= one.at && at < one.at + one.lasts; };
   const auto rateAt = [&](Span at) {
@@ -321,7 +331,15 @@
     const double part = at / plan.length;
     if (plan.shape == "wave") rate *= 1 + plan.swing * std::sin(part * 4 * 3.14159265358979);
     if (plan.shape == "ramp") rate *= 1 + plan.swing * (2 * part - 1);
-    for (std::size_t i = 0; i < count; ++i) offices[i] = 1;
+    for (std::size_t k = 0; k < plan.knots.size(); ++k) {
+      if (k + 1 < plan.knots.size() && at >= plan.knots[k + 1].first) continue;
+      const auto& [from, height] = plan.knots[k];
+      const auto& [to, next] = plan.knots[std::min(k + 1, plan.knots.size() - 1)];
+      const double way = to > from ? std::clamp((at - from) / (to - from), 0.0, 1.0) : 0;
+      rate *= height + (next - height) * way;
+      break;
+    }
+    offices = usual;
     for (const Trouble& one : plan.troubles) {
       if (!during(one, at)) continue;
       if (one.kind == Trouble::Kind::burst) rate *= one.size;
@@ -333,6 +351,7 @@
     return rate * sum / static_cast<double>(count);
   };
   double most = plan.rate * (1 + plan.swing);
+  for (const auto& knot : plan.knots) most = std::max(most, plan.rate * knot.second);
   for (const Trouble& one : plan.troubles) {
     if (one.kind == Trouble::Kind::burst || one.kind == Trouble::Kind::hotCaller) most *= std::max(1.0, one.size);
   }
--- a/src/day/script.hpp
+++ b/src/day/script.hpp
@@ -45,8 +45,10 @@
   CallerHabit habit;
   double rate = 30;            // sessions a second, all callers
   std::string shape = "steady";
+  std::vector<std::pair<Span, double>> knots;  // shape "given": the rate goes straight between these, by time
   double swing = 0.2;          // wave and ramp go this share above and below
   double pairSpread = 0.5;     // how unequal destinations are (standard deviation of the logarithm)
+  std::vector<double> pairs;   // weight by office and destination, row by row; empty: drawn from pairSpread
   std::vector<double> shares;  // of the services
   Span notice = Span::ms(2000);  // how late the directory is
   int lines = 4;               // of a mass-called number
