--- a/src/audit/audit.cpp
+++ b/src/audit/audit.cpp
@@ -59,7 +59,9 @@
   Instant sent;
   bool over = false, mayBeHeld = false;
   bool stood = false;
+  int answerSeq = -1;  // of the ANSWER that arrived, heard or not
   Instant overAt;
+  Crossed* crossed = nullptr;
 };
 
 class Audit {
@@ -284,12 +286,22 @@
     // The end of an INVITE: by the sender's word when it is sent, by the other's when it arrives.
     const bool bye = frame.is(Iax::HANGUP) || frame.is(Iax::REJECT);
     const bool answer = frame.is(iax2::Control::answer);
+    // An ANSWER that arrived ahead of a frame before it is not heard until that has come too: the office has heard it
+    // once it acknowledges it.
+    if (!packet.delivered) {
+      Invite* one = find(from, packet.to, frame.source);
+      if (one != nullptr && !one->stood && !one->over && one->answerSeq >= 0 &&
+          static_cast<std::int8_t>(frame.iseq - one->answerSeq) > 0) {
+        one->stood = true;
+        if (one->crossed != nullptr) ++one->crossed->stood;
+      }
+    }
     if (!packet.delivered && bye) end(from, packet.to, frame.source, true);
     if (packet.delivered && (bye || frame.is(Iax::INVAL))) {
       end(to, packet.from, frame.destination, frame.is(Iax::INVAL) || frame.elements.why == iax2::Why::reset);
     }
     if (packet.delivered && answer) {
-      if (Invite* one = find(to, packet.from, frame.destination)) one->stood = true;
+      if (Invite* one = find(to, packet.from, frame.destination)) one->answerSeq = frame.oseq;
     }
   }
 
@@ -317,6 +329,8 @@
     one.to = packet.to;
     one.number = frame.source;
     one.sent = now_;
+    one.crossed = crossing(frame, from, to);
+    if (one.crossed != nullptr) ++one.crossed->invites;
     all.push_back(one);
     byCall_[{from, packet.to, frame.source}] = session;
     checkTold(from, to, session);
@@ -326,6 +340,16 @@
     }
   }
 
+  Crossed* crossing(const Frame& frame, int from, int to) {
+    const Place& here = fleet_.places[static_cast<std::size_t>(from)];
+    const Place& there = fleet_.places[static_cast<std::size_t>(to)];
+    if (here.zone == there.zone || !frame.elements.towards) return nullptr;
+    // Whose session it is stands in its number's highest bits: a leg of another office's session is a second one.
+    const bool own = *frame.elements.session >> 52 == static_cast<std::uint64_t>(from + 1);
+    const char* part = !own ? "second" : *frame.elements.towards == to ? "direct" : "first";
+    return &found_.crossed[{here.zone, there.zone, std::string(frame.elements.calledContext), part}];
+  }
+
   void checkTold(int office, int place, std::uint64_t session) {
     const Told& told = told_[static_cast<std::size_t>(office)][static_cast<std::size_t>(place)];
     if (!told.known || told.ready || now_ - told.since <= fleet_.drainGrace + kStampSlack) return;
--- a/src/audit/audit.hpp
+++ b/src/audit/audit.hpp
@@ -3,6 +3,7 @@
 // Judges a day by its capture and the fleet alone. Shares no code with the office but the frame decoder.
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -17,7 +18,18 @@
   std::string text;
 };
 
+/// Legs between two zones as the capture shows them: how many INVITEs of each kind were sent, how many stood.
+struct Crossing {
+  std::string from, to, service, part;
+  friend auto operator<=>(const Crossing&, const Crossing&) = default;
+};
+struct Crossed {
+  std::uint64_t invites = 0, stood = 0;
+  friend bool operator==(const Crossed&, const Crossed&) = default;
+};
+
 struct Findings {
+  std::map<Crossing, Crossed> crossed;
   std::vector<Breach> breaches;  // the first hundred, in order of time
   std::uint64_t broken[6] = {};  // by rule
   // Tries of callers that reached an office, by how they were answered.
--- /dev/null
+++ b/src/command/ask.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "iax2/address.hpp"
+
+namespace thistlefold::command {
+
+/// Asks a running office; nothing if it does not answer within three seconds.
+std::optional<std::string> askOffice(iax2::Address office, std::string_view question);
+
+}  // namespace thistlefold::command
--- a/src/command/commands.hpp
+++ b/src/command/commands.hpp
@@ -13,5 +13,6 @@
 void addAudit(CLI::App& app, int& status);
 void addCheck(CLI::App& app, int& status);
 void addStatus(CLI::App& app, int& status);
+void addZones(CLI::App& app, int& status);
 
 }  // namespace thistlefold::command
--- a/src/command/main.cpp
+++ b/src/command/main.cpp
@@ -13,6 +13,7 @@
   addCheck(app, status);
   addDay(app, status);
   addAudit(app, status);
+  addZones(app, status);
   addStandIns(app, status);
   try {
     app.parse(count, words);
--- a/src/command/serve.cpp
+++ b/src/command/serve.cpp
@@ -69,24 +69,24 @@
   bool json_;
 };
 
-/// The office, and beside it the answer to `thistlefold status`, which comes to the same port.
+/// The office, and beside it the answers to `thistlefold status` and `zones`, which come to the same port.
 class Counter final : public Station {
  public:
   explicit Counter(Office& office) : office_(office) {}
   void take(Instant now, iax2::Address from, std::span<const std::uint8_t> datagram) override {
-    static constexpr std::string_view kQuestion = "thistlefold status 1\n";
-    const bool asked = std::equal(datagram.begin(), datagram.end(), kQuestion.begin(), kQuestion.end());
+    const std::string_view text(reinterpret_cast<const char*>(datagram.data()), datagram.size());
+    const bool status = text == "thistlefold status 1\n", zones = text == "thistlefold zones 1\n";
     // Only to this host: an account is longer than the question, and nobody else's business.
-    if (asked && from.ip >> 24 == 127) {
-      if (askers_.size() < 16) askers_.push_back(from);
+    if ((status || zones) && from.ip >> 24 == 127) {
+      if (askers_.size() < 16) askers_.emplace_back(from, zones);
     } else {
       office_.take(now, from, datagram);
     }
   }
   void turn(Instant now, const Outlet& out) override {
     office_.turn(now, out);
-    for (const iax2::Address asker : askers_) {
-      const std::string account = office_.report(now);
+    for (const auto& [asker, zones] : askers_) {
+      const std::string account = zones ? office_.zonesReport(now) : office_.report(now);
       out(asker, {reinterpret_cast<const std::uint8_t*>(account.data()), account.size()});
     }
     askers_.clear();
@@ -95,7 +95,7 @@
 
  private:
   Office& office_;
-  std::vector<iax2::Address> askers_;
+  std::vector<std::pair<iax2::Address, bool>> askers_;  // and whether they asked for zones
 };
 
 int serve(const std::string& path) {
--- a/src/command/status.cpp
+++ b/src/command/status.cpp
@@ -1,36 +1,13 @@
 #include <boost/json.hpp>
-#include <chrono>
 #include <iomanip>
 #include <iostream>
-#include <thread>
 
 #include "command/commands.hpp"
-#include "command/host.hpp"
-#include "settings/files.hpp"
+#include "command/ask.hpp"
 
 namespace thistlefold::command {
 namespace {
 
-// Three questions a second apart: one lost datagram, or an office that stands still for a second, is no silence.
-constexpr int kQuestions = 3;
-constexpr int kMillisecondsEach = 1000;
-
-std::optional<std::string> ask(iax2::Address office) {
-  Host host({0x7f000001, 0});
-  static constexpr std::string_view kQuestion = "thistlefold status 1\n";
-  std::optional<std::string> account;
-  for (int i = 0; i < kQuestions * kMillisecondsEach / 5 && !account; ++i) {
-    if (i % (kMillisecondsEach / 5) == 0) {
-      host.port().send(office, {reinterpret_cast<const std::uint8_t*>(kQuestion.data()), kQuestion.size()});
-    }
-    std::this_thread::sleep_for(std::chrono::milliseconds(5));
-    host.port().drain(16, [&](iax2::Address from, std::span<const std::uint8_t> bytes) {
-      if (from == office) account = std::string(bytes.begin(), bytes.end());
-    });
-  }
-  return account;
-}
-
 void print(const std::string& account) {
   const boost::json::value read = boost::json::parse(account);
   const boost::json::object& all = read.as_object();
@@ -64,10 +41,9 @@
       status = 2;
       return;
     }
-    const auto account = ask(*at);
+    const auto account = askOffice(*at, "thistlefold status 1\n");
     if (!account) {
-      std::cerr << "thistlefold status: no answer from " << *address << " within "
-                << kQuestions * kMillisecondsEach / 1000 << " s\n";
+      std::cerr << "thistlefold status: no answer from " << *address << '\n';
       status = 1;
     } else if (*json) {
       std::cout << *account << '\n';
--- a/src/day/loopback_stage.cpp
+++ b/src/day/loopback_stage.cpp
@@ -177,10 +177,12 @@
     const auto it = processes_.find(place);
     if (it != processes_.end()) it->second->signal(SIGTERM);
   }
-  std::optional<std::string> askOffice(int place) override {
+  std::optional<std::string> askOffice(int place) override { return ask(place, "thistlefold status 1\n"); }
+  std::optional<std::string> askZones(int place) override { return ask(place, "thistlefold zones 1\n"); }
+
+  std::optional<std::string> ask(int place, std::string_view question) {
     if (!processes_.contains(place)) return std::nullopt;
-    static constexpr std::string_view kQuestion = "thistlefold status 1\n";
-    asker_->send(listened_[place], {reinterpret_cast<const std::uint8_t*>(kQuestion.data()), kQuestion.size()});
+    asker_->send(listened_[place], {reinterpret_cast<const std::uint8_t*>(question.data()), question.size()});
     std::optional<std::string> account;
     for (int tries = 0; tries < 100 && !account; ++tries) {
       std::this_thread::sleep_for(std::chrono::milliseconds(10));
--- a/src/day/play.cpp
+++ b/src/day/play.cpp
@@ -77,6 +77,7 @@
     report.unfinished = callers_.active();
     for (std::size_t i = 0; i < count; ++i) {
       report.offices.push_back(stage_.askOffice(static_cast<int>(i)).value_or(""));
+      report.zones.push_back(stage_.askZones(static_cast<int>(i)).value_or(""));
     }
     for (std::size_t i = 0; i < count; ++i) {
       note("stop " + fleet_.places[i].name);
@@ -87,6 +88,7 @@
     report.seconds_taken = (stage_.now() - begin_).ms() / 1000;
     gather(report);
     report.findings = audit::audit(fleet_, capturePath);
+    compareCrossings(report);
     return report;
   }
 
@@ -129,6 +131,34 @@
     }
   }
 
+  /// What offices counted against what went over the sockets.
+  void compareCrossings(Report& report) const {
+    report.crossingsChecked = !everKilled_;
+    std::map<audit::Crossing, audit::Crossed> told;
+    for (const std::string& account : report.zones) {
+      if (account.empty()) report.crossingsChecked = false;
+      if (account.empty()) continue;
+      const boost::json::value read = boost::json::parse(account);
+      for (const auto& cell : read.at("cells").as_array()) {
+        const auto word = [&](const char* field) { return std::string(cell.at(field).as_string()); };
+        audit::Crossed& sums = told[{word("from"), word("to"), word("service"), word("part")}];
+        sums.invites += cell.at("invites").to_number<std::uint64_t>();
+        sums.stood += cell.at("stood").to_number<std::uint64_t>();
+      }
+    }
+    if (!report.crossingsChecked) return;
+    auto seen = report.findings.crossed;
+    for (const auto& [crossing, sums] : told) seen[crossing];
+    for (const auto& [crossing, sums] : seen) {
+      const audit::Crossed& counted = told[crossing];
+      if (counted == sums) continue;
+      report.crossings.push_back(crossing.from + " to " + crossing.to + ", " + crossing.service + ", " + crossing.part +
+                                 ": offices counted " + std::to_string(counted.invites) + " INVITEs and " +
+                                 std::to_string(counted.stood) + " stood, the capture has " +
+                                 std::to_string(sums.invites) + " and " + std::to_string(sums.stood));
+    }
+  }
+
   void note(const std::string& text) { capture_.note(stage_.now(), text); }
   void tell(const std::string& text) {
     std::ostringstream line;
@@ -252,6 +282,7 @@
           if (!down_.insert(place).second) continue;
           if (frozen_.erase(place) > 0) stage_.freezeOffice(place, false);
           note("kill " + name(place));
+          everKilled_ = true;
           stage_.killOffice(place);
           later([this, place] {
             note("start " + name(place));
@@ -370,6 +401,7 @@
   std::vector<const Trouble*> faults_;
   std::vector<std::string> told_;
   std::size_t fallenBefore_ = 0;
+  bool everKilled_ = false;
   Instant begin_;
 };
 
@@ -439,6 +471,11 @@
   out << "\n\n" << audit::describe(r.findings);
   for (const std::string& one : r.disagree) out << "ends disagree: " << one << '\n';
   if (r.disagree.empty()) out << "trunk groups: both ends agree, all circuits free\n";
+  for (const std::string& one : r.crossings) out << "cross-zone accounts differ: " << one << '\n';
+  if (r.crossings.empty()) {
+    out << "cross-zone accounts: "
+        << (r.crossingsChecked ? "equal to the capture to the unit\n" : "not compared, an office was killed and its account with it\n");
+  }
   if (r.unfinished > 0) out << r.unfinished << " sessions were not over when the day was cut off\n";
   if (r.fallen > 0) out << r.fallen << " exchanges were pushed over\n";
   out << (r.good() ? "GOOD: no rule broken, all sessions accounted for\n" : "NOT GOOD\n");
@@ -471,10 +508,15 @@
   json::array seconds;
   for (const auto& s : r.seconds) seconds.push_back(s.value > 0 ? json::value(s.earned / s.value) : json::value(nullptr));
   out["by_second"] = std::move(seconds);
-  json::array troubles, disagree, offices;
+  json::array troubles, disagree, offices, zones, crossings;
   for (const auto& one : r.troubles) troubles.emplace_back(one);
   for (const auto& one : r.disagree) disagree.emplace_back(one);
   for (const auto& one : r.offices) offices.push_back(one.empty() ? json::value(nullptr) : json::parse(one));
+  for (const auto& one : r.zones) zones.push_back(one.empty() ? json::value(nullptr) : json::parse(one));
+  for (const auto& one : r.crossings) crossings.emplace_back(one);
+  out["zones"] = std::move(zones);
+  out["crossings_differ"] = std::move(crossings);
+  out["crossings_checked"] = r.crossingsChecked;
   out["troubles"] = std::move(troubles);
   out["disagree"] = std::move(disagree);
   out["offices"] = std::move(offices);
--- a/src/day/play.hpp
+++ b/src/day/play.hpp
@@ -20,6 +20,9 @@
   double p50 = 0, p99 = 0;                // post-dial delay in ms of sessions that stood
   std::vector<std::string> offices;       // each office's own account, JSON; empty where it gave none
   std::vector<std::string> troubles;      // what happened when, in order
+  std::vector<std::string> zones;         // each office's account of what crossed zones, JSON; empty where it gave none
+  std::vector<std::string> crossings;     // where these accounts and the capture differ
+  bool crossingsChecked = false;          // not where an office was killed: its account went with it
   std::vector<std::string> disagree;      // groups whose two ends count differently at the end
   std::size_t unfinished = 0;             // sessions that callers still wanted when the day was cut off
   std::size_t fallen = 0;                 // exchanges that were pushed over
@@ -27,7 +30,7 @@
   audit::Findings findings;
 
   double service() const;  // value earned over value offered
-  bool good() const { return findings.kept() && disagree.empty() && unfinished == 0 && fallen == 0; }
+  bool good() const { return findings.kept() && disagree.empty() && crossings.empty() && unfinished == 0 && fallen == 0; }
 };
 
 /// The capture is written to `capturePath`. Throws StageFault or std::runtime_error.
--- a/src/day/stage.hpp
+++ b/src/day/stage.hpp
@@ -51,6 +51,8 @@
   virtual void stopOffice(int place) = 0;
   /// Its own account of itself as JSON, or nothing if it does not run or answer.
   virtual std::optional<std::string> askOffice(int place) = 0;
+  /// Its account of what crossed zones, likewise.
+  virtual std::optional<std::string> askZones(int place) = 0;
 
   virtual void at(Instant when, std::function<void()> what) = 0;
   virtual void runUntil(Instant end) = 0;
--- a/src/day/virtual_stage.cpp
+++ b/src/day/virtual_stage.cpp
@@ -95,6 +95,11 @@
     if (office == offices_.end()) return std::nullopt;
     return office->second->report(clock_.now());
   }
+  std::optional<std::string> askZones(int place) override {
+    const auto office = offices_.find(place);
+    if (office == offices_.end()) return std::nullopt;
+    return office->second->zonesReport(clock_.now());
+  }
 
   void at(Instant when, std::function<void()> what) override { clock_.at(when, std::move(what)); }
   void runUntil(Instant end) override { clock_.runUntil(end); }
--- a/src/office/office.cpp
+++ b/src/office/office.cpp
@@ -55,6 +55,7 @@
   Leg* in = nullptr;
   Leg* out = nullptr;
   Peer* at = nullptr;  // where the INVITE went
+  zones::Cell* cell = nullptr;  // of the account, while it stands over a leg that crosses zones
   std::string called;
   std::size_t offer = 0;
   Instant giveUpAt = Instant::never();
@@ -86,6 +87,7 @@
   bool out;
   bool inDoubt;  // not answered by the far end yet
   Instant openedAt;
+  zones::Cell* cell = nullptr;  // of the account, where the leg goes out and crosses zones
   std::list<Leg>::iterator self;
 };
 
@@ -117,6 +119,11 @@
       endpoint_(*this, setting.seed ^ static_cast<std::uint64_t>((now - Instant()).ms() * 1000), setting.patience),
       startMark_(static_cast<std::uint64_t>((now - Instant()).ms() * 1000)) {
   controller_ = make(fleet.data, setting.seed);
+  for (const Place& place : fleet.places) {
+    const auto known = std::find(zoneNames_.begin(), zoneNames_.end(), place.zone);
+    zoneOf_.push_back(static_cast<int>(known - zoneNames_.begin()));
+    if (known == zoneNames_.end()) zoneNames_.push_back(place.zone);
+  }
   for (std::size_t i = 0; i < fleet.places.size(); ++i) {
     const int place = static_cast<int>(i);
     peers_.push_back(std::make_unique<Peer>(
@@ -365,6 +372,8 @@
     endpoint_.send(now_, *held.in->call, iax2::Control::answer);
   }
   if (held.kind == Held::Kind::terminating) return;
+  held.cell = held.out->cell;
+  if (held.cell != nullptr) held.cell->stood(now_);
   if (held.kind == Held::Kind::dialled) ++tally_.stood;
   tell(Happening::What::stood, &held, held.at, "");
   Event accepted(Event::Kind::accepted, &held);
@@ -412,6 +421,7 @@
 void Office::over(Held& held, bool cut, const Leg* by) {
   held.state = Held::State::over;
   --standing_;
+  if (cut && held.cell != nullptr) held.cell->cut(now_);
   if (cut && held.kind == Held::Kind::dialled) ++tally_.cut;
   for (Leg* leg : {held.in, held.out}) {
     if (leg == nullptr || leg == by) continue;
@@ -492,6 +502,7 @@
   if (leg.circuits > 0) {
     if (leg.inDoubt) leg.peer->trunk.answered(leg.circuits);
     leg.peer->trunk.release(leg.circuits);
+    if (leg.cell != nullptr) leg.cell->released(now_, leg.circuits);
     changed(*leg.peer);
   }
   legs_.erase(leg.self);
@@ -595,6 +606,10 @@
     return event(Event(Event::Kind::ended, &held, &peer, Ending::moot, Reason::noCircuit));
   }
   held.out = &newLeg(held, *call, &peer, width, true);
+  if (zones::Cell* cell = cellOf(held, peer)) {
+    held.out->cell = cell;
+    cell->invited(now_, width);
+  }
   due(held, now_ + giveUpAfter);
   ++tally_.invites;
   if (&peer != held.destination) ++tally_.twoLeg;
@@ -867,6 +882,35 @@
   }
 }
 
+/// The account's cell for a leg of this session to that office; null where it stays in its zone.
+zones::Cell* Office::cellOf(const Held& held, const Peer& to) {
+  const int from = zoneOf_[static_cast<std::size_t>(setting_.place)];
+  const int there = zoneOf_[static_cast<std::size_t>(to.place)];
+  if (from == there) return nullptr;
+  const zones::Part part = held.transit             ? zones::Part::second
+                           : &to == held.destination ? zones::Part::direct
+                                                     : zones::Part::first;
+  return &ledger_.cell({from, there, static_cast<int>(held.offer), part});
+}
+
+std::string Office::zonesReport(Instant now) {
+  ledger_.settle(now);
+  std::ostringstream out;
+  out << "{\"office\":\"" << own_->site.name << "\",\"cells\":[";
+  bool first = true;
+  for (const auto& [key, cell] : ledger_.cells()) {
+    static constexpr const char* kParts[] = {"direct", "first", "second"};
+    const zones::Sums& sums = cell->total();
+    out << (std::exchange(first, false) ? "" : ",") << "{\"from\":\"" << zoneNames_[static_cast<std::size_t>(key.from)]
+        << "\",\"to\":\"" << zoneNames_[static_cast<std::size_t>(key.to)] << "\",\"service\":\""
+        << fleet_.offers[static_cast<std::size_t>(key.service)].name << "\",\"part\":\""
+        << kParts[static_cast<std::size_t>(key.part)] << "\",\"invites\":" << sums.invites << ",\"stood\":" << sums.stood
+        << ",\"cut\":" << sums.cut << ",\"refused\":" << sums.refused << ",\"held\":" << cell->held() << ",\"circuit_us\":" << sums.circuitMicroseconds << '}';
+  }
+  out << "]}";
+  return out.str();
+}
+
 const Trunk* Office::trunk(int place) const {
   const Peer& peer = *peers_[static_cast<std::size_t>(place)];
   return peer.own || peer.trunk.size() == 0 ? nullptr : &peer.trunk;
--- a/src/office/office.hpp
+++ b/src/office/office.hpp
@@ -22,6 +22,7 @@
 #include "office/trunk.hpp"
 #include "station.hpp"
 #include "thistlefold/controller.hpp"
+#include "zones/ledger.hpp"
 
 namespace thistlefold {
 
@@ -83,6 +84,8 @@
   /// This end's count of the group to `place`; null where there is none.
   const Trunk* trunk(int place) const;
   Readiness told(int place) const;
+  /// Its account of what crossed zones, up to `now`, as one JSON object, for `thistlefold zones`.
+  std::string zonesReport(Instant now);
   /// The state as one JSON object, for `thistlefold status`.
   std::string report(Instant now) const;
 
@@ -127,6 +130,7 @@
   void resize(Peer& peer, int circuits);
   void cutLeg(Leg& leg);
   void lose(Peer& peer, bool restarted);
+  zones::Cell* cellOf(const Held& held, const Peer& to);
   void pokeWhoIsDue();
   Leg& newLeg(Held& held, iax2::Call& call, Peer* peer, int circuits, bool out);
   Held& newHeld(std::uint64_t id, const iax2::Frame& frame, std::size_t service);
@@ -166,6 +170,9 @@
   std::size_t standing_ = 0;
   bool stopping_ = false;
   OfficeTally tally_;
+  std::vector<std::string> zoneNames_;  // in order of appearance in the fleet file
+  std::vector<int> zoneOf_;             // by place
+  zones::Ledger ledger_;
 };
 
 }  // namespace thistlefold
--- a/tests/commands.sh
+++ b/tests/commands.sh
@@ -80,6 +80,11 @@
 check "... stands" says "refused 0, failed 0, cut 0"
 check "status" status 0 "$program" status "127.0.0.1:$a"
 check "... names the other exchange" says "south"
+check "zones report of a running office" status 0 "$program" zones report "127.0.0.1:$a" "127.0.0.1:$c" --csv
+check "... has its head" says "from,to,service,part,invites"
+check "zones report of a day" status 0 "$program" zones report --run <("$program" day tests/short-day.sexp --virtual --json --out "$folder/v")
+check "... sums up" says "all           all           all"
+check "zones report of nothing" status 2 "$program" zones report
 check "status of nobody" status 1 "$program" status 127.0.0.1:9
 north=${children[0]}
 kill -USR1 "$north"
