--- a/src/audit/audit.cpp
+++ b/src/audit/audit.cpp
@@ -62,6 +62,8 @@
   int answerSeq = -1;  // of the ANSWER that arrived, heard or not
   Instant overAt;
   Crossed* crossed = nullptr;
+  std::pair<std::string, std::string> pair;  // zones
+  int width = 0;
 };
 
 class Audit {
@@ -145,6 +147,11 @@
         if (one.office == place) close(one, false);
       }
       // What a killed office held is no longer its duty, and its next self knows nothing of it.
+      for (auto it = invites_.lower_bound({place, 0}); it != invites_.end() && it->first.first == place; ++it) {
+        for (const Invite& one : it->second) {
+          if (!one.over && one.crossed != nullptr) out_[one.pair] -= one.width;
+        }
+      }
       invites_.erase(invites_.lower_bound({place, 0}), invites_.lower_bound({place + 1, 0}));
       for (Told& told : told_[at]) told = Told();
       lists_.erase(place);
@@ -330,7 +337,13 @@
     one.number = frame.source;
     one.sent = now_;
     one.crossed = crossing(frame, from, to);
-    if (one.crossed != nullptr) ++one.crossed->invites;
+    if (one.crossed != nullptr) {
+      ++one.crossed->invites;
+      one.pair = {fleet_.places[static_cast<std::size_t>(from)].zone, fleet_.places[static_cast<std::size_t>(to)].zone};
+      one.width = frame.elements.width.value_or(1);
+      const int out = out_[one.pair] += one.width;
+      found_.peaks[one.pair] = std::max(found_.peaks[one.pair], out);
+    }
     all.push_back(one);
     byCall_[{from, packet.to, frame.source}] = session;
     checkTold(from, to, session);
@@ -377,6 +390,7 @@
     Invite* one = find(office, to, number);
     if (one == nullptr || one->over) return;
     one->over = true;
+    if (one->crossed != nullptr) out_[one->pair] -= one->width;
     one->overAt = now_;
     one->mayBeHeld = mayBeHeld;
   }
@@ -456,6 +470,7 @@
   std::map<int, std::pair<std::uint64_t, std::uint64_t>> lists_;
   std::vector<std::vector<std::pair<Instant, Instant>>> frozen_, down_;
   std::vector<Cold> cold_;
+  std::map<std::pair<std::string, std::string>, int> out_;  // circuits of INVITEs that are not over
 };
 
 }  // namespace
--- a/src/audit/audit.hpp
+++ b/src/audit/audit.hpp
@@ -30,6 +30,7 @@
 
 struct Findings {
   std::map<Crossing, Crossed> crossed;
+  std::map<std::pair<std::string, std::string>, int> peaks;  // most circuits out at once, by ordered pair of zones
   std::vector<Breach> breaches;  // the first hundred, in order of time
   std::uint64_t broken[6] = {};  // by rule
   // Tries of callers that reached an office, by how they were answered.
--- a/src/command/serve.cpp
+++ b/src/command/serve.cpp
@@ -2,6 +2,7 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <iostream>
@@ -106,7 +107,7 @@
   Office office(file.fleet, file.setting, host.clock().now(), openOffice, std::ref(lines));
   Counter counter(office);
 
-  asio::signal_set ends(host.context(), SIGTERM, SIGINT), levels(host.context(), SIGUSR1);
+  asio::signal_set ends(host.context(), SIGTERM, SIGINT), levels(host.context(), SIGUSR1), reread(host.context(), SIGHUP);
   asio::steady_timer patience(host.context());
   std::function<void()> untilStopped = [&] {
     if (office.stopped() || patience.expiry() <= std::chrono::steady_clock::now()) return host.stop();
@@ -131,6 +132,27 @@
     });
   };
   onLevel();
+  // Budgets alone are read anew; for all else an office is started anew.
+  std::function<void()> onHup = [&] {
+    reread.async_wait([&](const boost::system::error_code& error, int) {
+      if (error) return;
+      try {
+        const Fleet fleet = settings::openFleet(file.fleetPath);
+        if (fleet.zones() != file.fleet.zones() || fleet.offers.size() != file.fleet.offers.size()) {
+          throw settings::Wrong(file.fleetPath + ": other zones or services than this office was started with");
+        }
+        office.budgets(fleet.budgets);
+        host.attendance().nudge();
+        lines.say(spdlog::level::info, "budgets", 0, "", std::to_string(fleet.budgets.size()) + " taken");
+      } catch (const settings::Wrong& wrong) {
+        std::string what = wrong.what();
+        std::replace(what.begin(), what.end(), '"', '\'');
+        lines.say(spdlog::level::err, "budgets", 0, "", what + "; they stay as they were");
+      }
+      onHup();
+    });
+  };
+  onHup();
   std::cout << "listening " << text(host.port().address()) << std::endl;
   lines.say(spdlog::level::info, "started", 0, "",
             "listening at " + text(host.port().address()) + ", receive buffer " +
@@ -148,7 +170,8 @@
   command->add_option("FILE", *path, "the office file")->required();
   command->footer(
       "Prints `listening ADDRESS:PORT` when it takes calls. SIGTERM: takes nothing new, ends all it holds with one\n"
-      "answer each, gone within two seconds; status 0 if all was confirmed. SIGUSR1: log level between info and debug.");
+      "answer each, gone within two seconds; status 0 if all was confirmed. SIGUSR1: log level between info and debug.\n"
+      "SIGHUP: the fleet file's budgets between zones are read anew.");
   command->callback([=, &status] {
     try {
       status = serve(*path);
--- a/src/day/play.cpp
+++ b/src/day/play.cpp
@@ -133,6 +133,16 @@
 
   /// What offices counted against what went over the sockets.
   void compareCrossings(Report& report) const {
+    for (const zones::Budget& budget : fleet_.budgets) {
+      const auto names = fleet_.zones();
+      const auto& from = names[static_cast<std::size_t>(budget.from)];
+      const auto& to = names[static_cast<std::size_t>(budget.to)];
+      const auto peak = report.findings.peaks.find({from, to});
+      const int most = peak == report.findings.peaks.end() ? 0 : peak->second;
+      report.budgets.push_back(from + " to " + to + ": " + std::to_string(most) + " circuits out at once at most, of " +
+                               std::to_string(budget.circuits));
+      if (most > budget.circuits) report.crossings.push_back("budget passed: " + report.budgets.back());
+    }
     report.crossingsChecked = !everKilled_;
     std::map<audit::Crossing, audit::Crossed> told;
     for (const std::string& account : report.zones) {
@@ -471,6 +481,7 @@
   out << "\n\n" << audit::describe(r.findings);
   for (const std::string& one : r.disagree) out << "ends disagree: " << one << '\n';
   if (r.disagree.empty()) out << "trunk groups: both ends agree, all circuits free\n";
+  for (const std::string& one : r.budgets) out << "budget " << one << '\n';
   for (const std::string& one : r.crossings) out << "cross-zone accounts differ: " << one << '\n';
   if (r.crossings.empty()) {
     out << "cross-zone accounts: "
--- a/src/day/play.hpp
+++ b/src/day/play.hpp
@@ -22,6 +22,7 @@
   std::vector<std::string> troubles;      // what happened when, in order
   std::vector<std::string> zones;         // each office's account of what crossed zones, JSON; empty where it gave none
   std::vector<std::string> crossings;     // where these accounts and the capture differ
+  std::vector<std::string> budgets;       // how near each budget between zones came to its bound
   bool crossingsChecked = false;          // not where an office was killed: its account went with it
   std::vector<std::string> disagree;      // groups whose two ends count differently at the end
   std::size_t unfinished = 0;             // sessions that callers still wanted when the day was cut off
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -29,6 +29,20 @@
   return best;
 }
 
+std::vector<std::string> Fleet::zones() const {
+  std::vector<std::string> all;
+  for (const Place& place : places) {
+    if (std::find(all.begin(), all.end(), place.zone) == all.end()) all.push_back(place.zone);
+  }
+  return all;
+}
+
+int Fleet::zone(std::string_view name) const {
+  const auto all = zones();
+  const auto it = std::find(all.begin(), all.end(), name);
+  return it == all.end() ? -1 : static_cast<int>(it - all.begin());
+}
+
 int Fleet::circuits(int a, int b) const {
   if (a > b) std::swap(a, b);
   for (const Group& group : groups) {
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -9,6 +9,7 @@
 
 #include "iax2/address.hpp"
 #include "thistlefold/office_data.hpp"
+#include "zones/budget.hpp"
 
 namespace thistlefold {
 
@@ -39,6 +40,7 @@
   Span drainGrace = Span::ms(500);
   std::vector<Place> places;
   std::vector<Group> groups;
+  std::vector<zones::Budget> budgets;  // by ordered pair of zones; at most one a pair
   iax2::Address directory;
 
   /// Index of the service, or -1.
@@ -47,6 +49,10 @@
   int place(std::string_view name) const;
   /// Index of the place whose numbers are the longest beginning of `called`, or -1.
   int destination(std::string_view called) const;
+  /// Names of the zones, in order of appearance.
+  std::vector<std::string> zones() const;
+  /// Index of a zone, or -1.
+  int zone(std::string_view name) const;
   /// Circuits between two places; 0 where there is no group.
   int circuits(int a, int b) const;
 };
--- a/src/office/office.cpp
+++ b/src/office/office.cpp
@@ -42,6 +42,7 @@
   double canTake = -1;
   Instant canTakeAt = Instant::longAgo();
   bool isChanged = false;
+  bool shut = false;  // shown without circuits for one round: the budget has none for a service that was sent here
 };
 
 /// One session. The Session part is the module's, the rest the engine's.
@@ -88,6 +89,7 @@
   bool inDoubt;  // not answered by the far end yet
   Instant openedAt;
   zones::Cell* cell = nullptr;  // of the account, where the leg goes out and crosses zones
+  std::size_t service = 0;
   std::list<Leg>::iterator self;
 };
 
@@ -124,6 +126,9 @@
     zoneOf_.push_back(static_cast<int>(known - zoneNames_.begin()));
     if (known == zoneNames_.end()) zoneNames_.push_back(place.zone);
   }
+  std::vector<int> widths;
+  for (const Offer& offer : fleet.offers) widths.push_back(offer.width);
+  parts_.assign(zoneNames_.size(), zones::Part(widths));
   for (std::size_t i = 0; i < fleet.places.size(); ++i) {
     const int place = static_cast<int>(i);
     peers_.push_back(std::make_unique<Peer>(
@@ -139,6 +144,7 @@
       changed(peer);
     }
   }
+  budgets(fleet.budgets);
 }
 
 Office::~Office() = default;
@@ -502,7 +508,12 @@
   if (leg.circuits > 0) {
     if (leg.inDoubt) leg.peer->trunk.answered(leg.circuits);
     leg.peer->trunk.release(leg.circuits);
-    if (leg.cell != nullptr) leg.cell->released(now_, leg.circuits);
+    if (leg.cell != nullptr) {
+      leg.cell->released(now_, leg.circuits);
+      zones::Part& part = *partOf(*leg.peer);
+      part.release(leg.service);
+      budgetChanged(part);
+    }
     changed(*leg.peer);
   }
   legs_.erase(leg.self);
@@ -543,7 +554,7 @@
 void Office::deliver(Controller& controller) {
   for (Peer* peer : std::exchange(changed_, {})) {
     peer->isChanged = false;
-    controller.circuits(*peer, peer->trunk.free(), peer->trunk.size());
+    told(*peer, controller);
   }
   for (const Event& one : std::exchange(events_, {})) {
     switch (one.kind) {
@@ -572,6 +583,53 @@
   }
 }
 
+/// A group that crosses zones is shown as the tighter of its circuits and the budget's part, so that its price rises as
+/// the budget fills. Without a budget it is shown as it is.
+void Office::told(Peer& peer, Controller& controller) {
+  int free = peer.trunk.free(), size = peer.trunk.size();
+  const zones::Part* part = partOf(peer);
+  if (part != nullptr && part->bounded()) {
+    free = std::min(free, part->left());
+    size = std::min(size, part->circuits());
+  }
+  if (peer.shut) free = 0;
+  controller.circuits(peer, free, size);
+  // As it is again, from the next round on.
+  if (std::exchange(peer.shut, false)) changed(peer);
+}
+
+zones::Part* Office::partOf(const Peer& to) {
+  const int there = zoneOf_[static_cast<std::size_t>(to.place)];
+  return there == zoneOf_[static_cast<std::size_t>(setting_.place)] ? nullptr : &parts_[static_cast<std::size_t>(there)];
+}
+
+/// All groups that share a budget are shown anew.
+void Office::budgetChanged(const zones::Part& part) {
+  if (!part.bounded()) return;
+  for (const auto& peer : peers_) {
+    if (!peer->own && partOf(*peer) == &part) changed(*peer);
+  }
+}
+
+void Office::budgets(const std::vector<zones::Budget>& budgets) {
+  const int here = zoneOf_[static_cast<std::size_t>(setting_.place)];
+  int index = 0, count = 0;
+  for (std::size_t i = 0; i < zoneOf_.size(); ++i) {
+    if (zoneOf_[i] != here) continue;
+    if (static_cast<int>(i) < setting_.place) ++index;
+    ++count;
+  }
+  for (std::size_t zone = 0; zone < parts_.size(); ++zone) {
+    const auto one = std::find_if(budgets.begin(), budgets.end(), [&](const zones::Budget& budget) {
+      return budget.from == here && budget.to == static_cast<int>(zone);
+    });
+    parts_[zone].set(one == budgets.end() ? std::nullopt : std::optional(*one), index, count);
+  }
+  for (const auto& peer : peers_) {
+    if (!peer->own && partOf(*peer) != nullptr) changed(*peer);
+  }
+}
+
 void Office::invite(const Session& session, const Exchange& to, Span giveUpAfter) {
   Held& held = const_cast<Held&>(static_cast<const Held&>(session));
   Peer& peer = const_cast<Peer&>(static_cast<const Peer&>(to));
@@ -582,7 +640,13 @@
   held.at = &peer;
   held.state = Held::State::ringing;
   iax2::Call* call = nullptr;
-  if (peer.trunk.seize(width)) {
+  zones::Part* part = partOf(peer);
+  if (part != nullptr && !part->admits(held.offer)) {
+    // No circuit for this service: the module looks for another way, as with any leg without one.
+    cellOf(held, peer)->refused(now_);
+    peer.shut = true;
+    changed(peer);
+  } else if (peer.trunk.seize(width)) {
     changed(peer);
     iax2::Elements e;
     e.version = std::uint16_t{2};
@@ -608,7 +672,10 @@
   held.out = &newLeg(held, *call, &peer, width, true);
   if (zones::Cell* cell = cellOf(held, peer)) {
     held.out->cell = cell;
+    held.out->service = held.offer;
     cell->invited(now_, width);
+    part->take(held.offer);
+    budgetChanged(*part);
   }
   due(held, now_ + giveUpAfter);
   ++tally_.invites;
@@ -887,10 +954,10 @@
   const int from = zoneOf_[static_cast<std::size_t>(setting_.place)];
   const int there = zoneOf_[static_cast<std::size_t>(to.place)];
   if (from == there) return nullptr;
-  const zones::Part part = held.transit             ? zones::Part::second
-                           : &to == held.destination ? zones::Part::direct
-                                                     : zones::Part::first;
-  return &ledger_.cell({from, there, static_cast<int>(held.offer), part});
+  const zones::Way way = held.transit             ? zones::Way::second
+                           : &to == held.destination ? zones::Way::direct
+                                                     : zones::Way::first;
+  return &ledger_.cell({from, there, static_cast<int>(held.offer), way});
 }
 
 std::string Office::zonesReport(Instant now) {
@@ -904,9 +971,19 @@
     out << (std::exchange(first, false) ? "" : ",") << "{\"from\":\"" << zoneNames_[static_cast<std::size_t>(key.from)]
         << "\",\"to\":\"" << zoneNames_[static_cast<std::size_t>(key.to)] << "\",\"service\":\""
         << fleet_.offers[static_cast<std::size_t>(key.service)].name << "\",\"part\":\""
-        << kParts[static_cast<std::size_t>(key.part)] << "\",\"invites\":" << sums.invites << ",\"stood\":" << sums.stood
+        << kParts[static_cast<std::size_t>(key.way)] << "\",\"invites\":" << sums.invites << ",\"stood\":" << sums.stood
         << ",\"cut\":" << sums.cut << ",\"refused\":" << sums.refused << ",\"held\":" << cell->held() << ",\"circuit_us\":" << sums.circuitMicroseconds << '}';
   }
+  out << "],\"budgets\":[";
+  first = true;
+  for (std::size_t zone = 0; zone < parts_.size(); ++zone) {
+    const zones::Part& part = parts_[zone];
+    if (!part.bounded()) continue;
+    out << (std::exchange(first, false) ? "" : ",") << "{\"from\":\""
+        << zoneNames_[static_cast<std::size_t>(zoneOf_[static_cast<std::size_t>(setting_.place)])] << "\",\"to\":\""
+        << zoneNames_[zone] << "\",\"part\":" << part.circuits() << ",\"held\":" << part.held()
+        << ",\"over\":" << part.over() << '}';
+  }
   out << "]}";
   return out.str();
 }
--- a/src/office/office.hpp
+++ b/src/office/office.hpp
@@ -84,6 +84,8 @@
   /// This end's count of the group to `place`; null where there is none.
   const Trunk* trunk(int place) const;
   Readiness told(int place) const;
+  /// Budgets between zones from now on: new legs obey, standing ones are left to end.
+  void budgets(const std::vector<zones::Budget>& budgets);
   /// Its account of what crossed zones, up to `now`, as one JSON object, for `thistlefold zones`.
   std::string zonesReport(Instant now);
   /// The state as one JSON object, for `thistlefold status`.
@@ -130,6 +132,9 @@
   void resize(Peer& peer, int circuits);
   void cutLeg(Leg& leg);
   void lose(Peer& peer, bool restarted);
+  zones::Part* partOf(const Peer& to);
+  void told(Peer& peer, Controller& controller);
+  void budgetChanged(const zones::Part& part);
   zones::Cell* cellOf(const Held& held, const Peer& to);
   void pokeWhoIsDue();
   Leg& newLeg(Held& held, iax2::Call& call, Peer* peer, int circuits, bool out);
@@ -173,6 +178,7 @@
   std::vector<std::string> zoneNames_;  // in order of appearance in the fleet file
   std::vector<int> zoneOf_;             // by place
   zones::Ledger ledger_;
+  std::vector<zones::Part> parts_;      // by zone that a leg goes to
 };
 
 }  // namespace thistlefold
--- a/src/settings/files.cpp
+++ b/src/settings/files.cpp
@@ -14,10 +14,21 @@
     {"rules", "(rules ...)", "-", "figures of the five rules"},
     {"exchange", "(exchange NAME ...)", "", "an exchange with its office; several"},
     {"group", "(group NAME NAME CIRCUITS)", "", "the trunk group between two exchanges; several"},
+    {"budget", "(budget ZONE ZONE CIRCUITS ...)", "", "circuits held at once from one zone to another; several"},
     {"mesh", "(mesh COUNT ...)", "-", "that many exchanges e1, e2, ... with groups between them, made up"},
     {"directory", "(directory ADDRESS)", "-", "where the directory is; lists from elsewhere are not taken"},
 };
-constexpr std::string_view kFleetMany[] = {"service", "exchange", "group"};
+constexpr std::string_view kFleetMany[] = {"service", "exchange", "group", "budget"};
+
+constexpr Word kBudget[] = {
+    {"class", "(class SERVICE ...)", "", "what a service has of the budget; several"},
+};
+constexpr std::string_view kBudgetMany[] = {"class"};
+
+constexpr Word kClass[] = {
+    {"guaranteed", "circuits", "0", "kept for this service"},
+    {"most", "circuits", "-1", "never more than this; -1 for no bound"},
+};
 
 constexpr Word kService[] = {
     {"width", "a whole number of circuits", "1", "circuits that a session takes on each group"},
@@ -218,6 +229,51 @@
   }
 }
 
+void readBudgets(const Fields& fields, Fleet& fleet) {
+  const std::vector<std::string> zones = fleet.zones();
+  const std::vector<std::string_view> zoneWords(zones.begin(), zones.end());
+  for (const Form* one : fields.all("budget")) {
+    if (one->items.size() < 4) one->wrong("(budget ZONE ZONE CIRCUITS ...) is expected");
+    zones::Budget budget;
+    int* const ends[] = {&budget.from, &budget.to};
+    for (std::size_t i = 0; i < 2; ++i) {
+      *ends[i] = fleet.zone(asText(one->items[i + 1]));
+      if (*ends[i] < 0) unknownWord(one->items[i + 1], one->items[i + 1].value, zoneWords);
+    }
+    if (budget.from == budget.to) one->wrong("two different zones are expected");
+    for (const zones::Budget& other : fleet.budgets) {
+      if (other.from == budget.from && other.to == budget.to) one->wrong("this budget stands twice");
+    }
+    const auto whole = [](const Form& form, double least) {
+      const double value = asNumber(form, least, 1e6);
+      if (value != static_cast<int>(value)) form.wrong("a whole number of circuits is expected");
+      return static_cast<int>(value);
+    };
+    budget.circuits = whole(one->items[3], 0);
+    budget.classes.resize(fleet.offers.size());
+    const Fields f(*one, 4, kBudget, kBudgetMany);
+    int guaranteed = 0;
+    for (const Form* form : f.all("class")) {
+      if (form->items.size() < 2) form->wrong("(class SERVICE ...) is expected");
+      const int service = fleet.service(asText(form->items[1]));
+      if (service < 0) {
+        std::vector<std::string_view> known;
+        for (const Offer& offer : fleet.offers) known.push_back(offer.name);
+        unknownWord(form->items[1], form->items[1].value, known);
+      }
+      const Fields c(*form, 2, kClass);
+      zones::ClassShare& share = budget.classes[static_cast<std::size_t>(service)];
+      share.guaranteed = c.whole("guaranteed", 0, 1000000);
+      const int most = c.whole("most", -1, 1000000);
+      if (most >= 0) share.most = most;
+      if (most >= 0 && most < share.guaranteed) form->wrong("guaranteed is more than most");
+      guaranteed += share.guaranteed;
+    }
+    if (guaranteed > budget.circuits) one->wrong("the guaranteed parts are more than the budget");
+    fleet.budgets.push_back(std::move(budget));
+  }
+}
+
 }  // namespace
 
 iax2::Address asAddress(const Form& form) {
@@ -238,6 +294,7 @@
     readMesh(*mesh, fleet);
   }
   readGroups(fields, fleet);
+  readBudgets(fields, fleet);
   if (fleet.places.size() < 2) form.wrong("two exchanges or more are expected");
   if (const Form* directory = fields.find("directory")) {
     if (directory->items.size() != 2) directory->wrong("(directory ADDRESS:PORT) is expected");
@@ -274,6 +331,16 @@
     out << "  (group " << fleet.places[static_cast<std::size_t>(g.a)].name << ' '
         << fleet.places[static_cast<std::size_t>(g.b)].name << ' ' << g.circuits << ")\n";
   }
+  const std::vector<std::string> zones = fleet.zones();
+  for (const zones::Budget& b : fleet.budgets) {
+    out << "  (budget \"" << zones[static_cast<std::size_t>(b.from)] << "\" \"" << zones[static_cast<std::size_t>(b.to)] << "\" "
+        << b.circuits;
+    for (std::size_t i = 0; i < b.classes.size(); ++i) {
+      out << " (class " << fleet.offers[i].name << " (guaranteed " << b.classes[i].guaranteed << ") (most "
+          << b.classes[i].most.value_or(-1) << "))";
+    }
+    out << ")\n";
+  }
   out << "  (directory \"" << text(fleet.directory) << "\"))\n";
   return out.str();
 }
@@ -336,6 +403,8 @@
   explainWords(out, "service NAME", kService);
   explainWords(out, "rules", kRules);
   explainWords(out, "exchange NAME", kExchange);
+  explainWords(out, "budget ZONE ZONE CIRCUITS", kBudget);
+  explainWords(out, "class SERVICE", kClass);
   explainWords(out, "mesh COUNT", kMesh);
   explainWords(out, "office NAME", kOffice);
   explainWords(out, "log", kLog);
--- a/src/zones/ledger.hpp
+++ b/src/zones/ledger.hpp
@@ -14,7 +14,7 @@
 namespace thistlefold::zones {
 
 /// What a leg is to its session.
-enum class Part : std::uint8_t { direct, first, second };
+enum class Way : std::uint8_t { direct, first, second };
 
 /// Sums; all whole numbers, so that sums over any parts agree to the unit.
 struct Sums {
@@ -84,7 +84,7 @@
 struct Key {
   int from = 0, to = 0;  // zones
   int service = 0;
-  Part part = Part::direct;
+  Way way = Way::direct;
   friend auto operator<=>(const Key&, const Key&) = default;
 };
 
--- a/tests/commands.sh
+++ b/tests/commands.sh
@@ -60,7 +60,7 @@
 cat >"$folder/fleet.sexp" <<FLEET
 (fleet (service call (mean-hold 200))
   (exchange north (numbers "20") (office "127.0.0.1:$a") (processor "127.0.0.1:$b"))
-  (exchange south (numbers "21") (office "127.0.0.1:$c") (processor "127.0.0.1:$d"))
+  (exchange south (zone away) (numbers "21") (office "127.0.0.1:$c") (processor "127.0.0.1:$d"))
   (group north south 50) (directory "127.0.0.1:$e"))
 FLEET
 for name in north south; do
@@ -87,6 +87,18 @@
 check "zones report of nothing" status 2 "$program" zones report
 check "status of nobody" status 1 "$program" status 127.0.0.1:9
 north=${children[0]}
+sed -i 's/(group north south 50)/(group north south 50) (budget home away 0)/' "$folder/fleet.sexp"
+kill -HUP "$north"
+sleep 0.5
+check "a budget of nothing, read at SIGHUP" status 0 "$program" load "$folder/fleet.sexp" --office north --rate 20 --for 1
+check "... lets nobody across" says "stood 0"
+sed -i 's/(budget home away 0)/(budget home nowhere 0)/' "$folder/fleet.sexp"
+kill -HUP "$north"
+sleep 0.3
+check "a wrong file at SIGHUP changes nothing" grep -q "unknown word 'nowhere'.*they stay as they were" "$folder/north.log"
+sed -i 's/(budget home nowhere 0)//' "$folder/fleet.sexp"
+kill -HUP "$north"
+sleep 0.5
 kill -USR1 "$north"
 check "load again, with a line a session" status 0 "$program" load "$folder/fleet.sexp" --rate 20 --for 1
 kill -TERM "$north"
--- a/tests/program/settings.cpp
+++ b/tests/program/settings.cpp
@@ -72,6 +72,22 @@
   CHECK(faultOf(with("(service call)", "(service call (width 1.5))")) == "f:1:29: a whole number is expected");
 }
 
+TEST_CASE("budgets are read, written and checked") {
+  const std::string zoned = with("(exchange b ", "(exchange b (zone away) ");
+  const auto budget = [&](const std::string& text) { return zoned.substr(0, zoned.size() - 1) + text + ")"; };
+  const Document document = Document::parse("f", budget("(budget home away 12 (class call (guaranteed 4) (most 8)))"));
+  const Fleet fleet = readFleet(document.forms().front());
+  REQUIRE(fleet.budgets.size() == 1);
+  CHECK(fleet.budgets[0].circuits == 12);
+  CHECK(fleet.budgets[0].classes[0].most == 8);
+  const Document again = Document::parse("g", writeFleet(fleet));
+  CHECK(writeFleet(readFleet(again.forms().front())) == writeFleet(fleet));
+  CHECK(faultOf(budget("(budget home awya 12)")).find("unknown word 'awya'; the nearest known is 'away'") != std::string::npos);
+  CHECK(faultOf(budget("(budget home home 12)")).find("two different zones") != std::string::npos);
+  CHECK(faultOf(budget("(budget home away 3 (class call (guaranteed 4)))")).find("more than the budget") != std::string::npos);
+  CHECK(faultOf(budget("(budget home away 9 (class call (guaranteed 4) (most 2)))")).find("more than most") != std::string::npos);
+}
+
 TEST_CASE("a day's troubles are checked like all else") {
   const std::string fleet = "(fleet (service call) (mesh 3))";
   CHECK(faultOf("(day d " + fleet + " (at 5 (hang e1 100)))") == "");
--- a/tests/program/zones.cpp
+++ b/tests/program/zones.cpp
@@ -1,8 +1,10 @@
 // The account of traffic across zones.
 
 #include <random>
+#include <set>
 
 #include "town.hpp"
+#include "zones/budget.hpp"
 #include "zones/ledger.hpp"
 
 using namespace thistlefold;
@@ -123,3 +125,131 @@
   town.stage().remove(day::kCallers);
   town.run(10);
 }
+
+namespace {
+
+Part partOf(int circuits, std::vector<ClassShare> classes, int index = 0, int count = 1) {
+  Part part({1, 4});
+  Budget budget;
+  budget.circuits = circuits;
+  budget.classes = std::move(classes);
+  part.set(budget, index, count);
+  return part;
+}
+
+int fill(Part& part, std::size_t service) {
+  int taken = 0;
+  for (; part.admits(service); ++taken) part.take(service);
+  return taken;
+}
+
+}  // namespace
+
+TEST_CASE("equal parts add up to the whole, whatever the count") {
+  for (int whole : {0, 1, 7, 24, 95, 1000}) {
+    for (int count : {1, 2, 3, 7, 95}) {
+      int sum = 0;
+      for (int i = 0; i < count; ++i) sum += equalPart(whole, i, count);
+      CHECK(sum == whole);
+      CHECK(equalPart(whole, 0, count) - equalPart(whole, count - 1, count) <= 1);
+    }
+  }
+}
+
+TEST_CASE("a flood of one class takes its most part and what others leave, never their guarantee") {
+  Part part = partOf(24, {{0, std::nullopt}, {12, std::nullopt}});
+  fill(part, 0);
+  CHECK(part.heldBy(0) == 9);  // 24 less the guarantee, less what the widest needs beyond it
+  CHECK(fill(part, 1) == 3);   // the guarantee is reachable at once, whatever the flood holds
+  Part bounded = partOf(24, {{0, 5}, {0, std::nullopt}});
+  CHECK(fill(bounded, 0) == 5);
+  CHECK(fill(bounded, 1) == 4);
+}
+
+TEST_CASE("wide and narrow sessions are refused in the same states") {
+  Part part = partOf(20, {{}, {}});
+  // Narrow ones stop where a wide one would no longer fit, so the next circuits that come free are as good for it.
+  CHECK(fill(part, 0) == 17);
+  CHECK_FALSE(part.admits(1));
+  part.release(0);
+  CHECK(part.admits(1));
+  CHECK(part.admits(0));
+  // A part that never holds a wide one is left to the narrow ones.
+  Part small = partOf(3, {{}, {}});
+  CHECK(fill(small, 0) == 3);
+}
+
+TEST_CASE("a lowered budget admits nothing until enough has ended, and says how much is over") {
+  Part part = partOf(24, {{}, {}});
+  for (int i = 0; i < 5; ++i) part.take(1);
+  Budget lower;
+  lower.circuits = 8;
+  part.set(lower, 0, 1);
+  CHECK(part.over() == 12);
+  CHECK(part.left() == 0);
+  CHECK_FALSE(part.admits(0));
+  for (int i = 0; i < 4; ++i) part.release(1);
+  CHECK(part.over() == 0);
+  CHECK(part.admits(1));
+  part.set(std::nullopt, 0, 1);
+  CHECK_FALSE(part.bounded());
+  CHECK(part.admits(1));
+}
+
+TEST_CASE("a budget lowered to nothing in service: new sessions go another way or are refused, standing ones end") {
+  Fleet fleet = smallFleet(2, 50);
+  fleet.places[1].zone = "away";
+  const iax2::Address callers{2, 2}, other{3, 3};
+  fleet.places[1].office = other;
+  fleet.directory = {9, 9};
+  Office office(fleet, OfficeSetting(), Instant::ms(1000));
+  ExchangeList list{1, 1, true, {{0, Readiness::ready, 1, Span::ms(1e6)}, {1, Readiness::ready, 1, Span::ms(1e6)}}, {}};
+  const std::string text = encode(list);
+  Instant now = Instant::ms(1000);
+  office.take(now, fleet.directory, {reinterpret_cast<const std::uint8_t*>(text.data()), text.size()});
+  Telephone phone(4), peer(5);
+  std::set<iax2::Call*> answered;
+  const auto pass = [&] {
+    for (int i = 0; i < 4; ++i) {
+      now = now + Span::ms(1);
+      phone.turn(now, [&](iax2::Address, iax2::Bytes bytes) { office.take(now, callers, bytes); });
+      peer.turn(now, [&](iax2::Address, iax2::Bytes bytes) { office.take(now, other, bytes); });
+      office.turn(now, [&](iax2::Address to, iax2::Bytes bytes) {
+        if (to == callers) phone.take(now, {1, 1}, bytes);
+        if (to == other) peer.take(now, {1, 1}, bytes);
+      });
+      for (iax2::Call* call : std::vector(peer.calls.begin(), peer.calls.end())) {
+        if (!answered.insert(call).second) continue;
+        peer.endpoint().send(now, *call, iax2::Iax::ACCEPT);
+        peer.endpoint().send(now, *call, iax2::Control::answer);
+      }
+    }
+  };
+  Budget budget;
+  budget.to = 1;
+  budget.circuits = 3;
+  budget.classes.resize(2);
+  office.budgets({budget});
+  std::vector<iax2::Call*> calls;
+  for (int i = 0; i < 6; ++i) {
+    calls.push_back(phone.dial(now, {1, 1}, "21000" + std::to_string(i)));
+    pass();
+  }
+  CHECK(phone.count("ANSWER") == 3);
+  CHECK(phone.count("REJECT") == 3);
+  CHECK(office.trunk(1)->held() == 3);
+  budget.circuits = 0;
+  office.budgets({budget});
+  phone.dial(now, {1, 1}, "210009");
+  pass();
+  CHECK(phone.count("ANSWER") == 3);
+  CHECK(phone.count("REJECT") == 4);
+  CHECK(office.zonesReport(now).find("\"part\":0,\"held\":3,\"over\":3") != std::string::npos);
+  for (int i = 0; i < 3; ++i) phone.endpoint().hangUp(now, *calls[static_cast<std::size_t>(i)], iax2::Iax::HANGUP, {});
+  pass();
+  CHECK(office.zonesReport(now).find("\"part\":0,\"held\":0,\"over\":0") != std::string::npos);
+  office.budgets({});
+  phone.dial(now, {1, 1}, "210010");
+  pass();
+  CHECK(phone.count("ANSWER") == 4);
+}
