--- a/src/office/office.cpp
+++ b/src/office/office.cpp
@@ -257,21 +257,27 @@
   if (own_->told != Readiness::ready) {
     return answerNo(held, Why::processorFull, false, kRoomFresh, kOutOfOrder, "exchange not in service");
   }
+  iax2::Call* call =
+      endpoint_.open(now_, own_->site.processor, nullptr, opening(held, setting_.place, held.timerLimit - now_));
+  if (call == nullptr) return answerNo(held, Why::processorFull, false, kRoomFresh, kCongestion, "no call number");
+  held.out = &newLeg(held, *call, own_, 0, true);
+  held.at = own_;
+  held.state = Held::State::ringing;
+  due(held, held.timerLimit + kSenderFirst);
+}
+
+/// What a NEW of this session says.
+iax2::Elements Office::opening(const Held& held, int towards, Span timeLeft) const {
   iax2::Elements e;
   e.version = std::uint16_t{2};
   e.calledNumber = held.called;
   e.calledContext = fleet_.offers[held.offer].name;
   e.session = held.id;
   e.origin = static_cast<std::uint16_t>(setting_.place);
-  e.towards = static_cast<std::uint16_t>(setting_.place);
+  e.towards = static_cast<std::uint16_t>(towards);
   e.width = static_cast<std::uint16_t>(held.width);
-  e.timeLeft = milliseconds(held.timerLimit - now_);
-  iax2::Call* call = endpoint_.open(now_, own_->site.processor, nullptr, e);
-  if (call == nullptr) return answerNo(held, Why::processorFull, false, kRoomFresh, kCongestion, "no call number");
-  held.out = &newLeg(held, *call, own_, 0, true);
-  held.at = own_;
-  held.state = Held::State::ringing;
-  due(held, held.timerLimit + kSenderFirst);
+  e.timeLeft = milliseconds(timeLeft);
+  return e;
 }
 
 void Office::heard(Leg& leg, const iax2::Frame& frame) {
@@ -648,16 +654,7 @@
     changed(peer);
   } else if (peer.trunk.seize(width)) {
     changed(peer);
-    iax2::Elements e;
-    e.version = std::uint16_t{2};
-    e.calledNumber = held.called;
-    e.calledContext = fleet_.offers[held.offer].name;
-    e.session = held.id;
-    e.origin = static_cast<std::uint16_t>(setting_.place);
-    e.towards = static_cast<std::uint16_t>(held.destination->place);
-    e.width = static_cast<std::uint16_t>(width);
-    e.timeLeft = milliseconds(giveUpAfter);
-    call = endpoint_.open(now_, peer.site.office, nullptr, e);
+    call = endpoint_.open(now_, peer.site.office, nullptr, opening(held, held.destination->place, giveUpAfter));
     if (call == nullptr) {
       peer.trunk.answered(width);
       peer.trunk.release(width);
--- a/src/office/office.hpp
+++ b/src/office/office.hpp
@@ -142,6 +142,7 @@
   void event(Event event);
   void changed(Peer& peer);
   void tell(Happening::What what, const Held* held, const Peer* peer, std::string_view reason) const;
+  iax2::Elements opening(const Held& held, int towards, Span timeLeft) const;
   iax2::Elements withRoom(const Held* held) const;
   void sweep();
 
