The command tests never take one free port twice

Cause: each port is told by binding port 0 and is free again, so that two of five could be the same. Change: drawn anew until all differ.

--- a/tests/commands.sh
+++ b/tests/commands.sh
@@ -54,9 +54,13 @@
 check "... reads as good" says '"good":true'
 
 # ---- An office by hand
-# Ports are free ones: an office, an exchange and a directory are bound to port 0 by a first fleet file to learn them.
+# Ports are free ones: `load` binds port 0 and tells which it got.
 port() { "$program" load tests/ports.sexp --for 0.1 --rate 0.1 2>/dev/null | sed -n 's/^listening 127.0.0.1://p'; }
-a=$(port) b=$(port) c=$(port) d=$(port) e=$(port)
+while :; do
+  a=$(port) b=$(port) c=$(port) d=$(port) e=$(port)
+  # Each is free again once it was told, so one may be told twice.
+  [ "$(printf '%s\n' "$a" "$b" "$c" "$d" "$e" | sort -u | grep -c .)" -eq 5 ] && break
+done
 cat >"$folder/fleet.sexp" <<FLEET
 (fleet (service call (mean-hold 200))
   (exchange north (numbers "20") (office "127.0.0.1:$a") (processor "127.0.0.1:$b"))
