A taken port is named in one clear error; an office's stop waits through the clock's seam

Cause: serve on a port in use printed a library's source location and no address; its two seconds for an orderly stop were timed past the seam for time. Change: the error says which address can't be listened at; the stop is a coroutine on the clock's alarm. Measured: all checks of the commands pass, two new ones for the taken port.

--- a/src/command/serve.cpp
+++ b/src/command/serve.cpp
@@ -3,8 +3,8 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
-#include <chrono>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <iostream>
 
 #include "command/commands.hpp"
@@ -18,7 +18,7 @@
 namespace asio = boost::asio;
 
 // On SIGTERM all that is held is ended at once; the far ends confirm within this or are left to find out.
-constexpr auto kStopWithin = std::chrono::milliseconds(2000);
+constexpr Span kStopWithin = Span::ms(2000);
 
 std::shared_ptr<spdlog::logger> openLog(const settings::LogSetting& setting) {
   std::shared_ptr<spdlog::logger> log;
@@ -108,19 +108,21 @@
   Counter counter(office);
 
   asio::signal_set ends(host.context(), SIGTERM, SIGINT), levels(host.context(), SIGUSR1), reread(host.context(), SIGHUP);
-  asio::steady_timer patience(host.context());
-  std::function<void()> untilStopped = [&] {
-    if (office.stopped() || patience.expiry() <= std::chrono::steady_clock::now()) return host.stop();
-    auto again = std::make_shared<asio::steady_timer>(host.context(), std::chrono::milliseconds(10));
-    again->async_wait([&, again](auto) { untilStopped(); });
+  const auto untilStopped = [&]() -> asio::awaitable<void> {
+    const Instant latest = host.clock().now() + kStopWithin;
+    const auto alarm = host.clock().alarm();
+    while (!office.stopped() && host.clock().now() < latest) {
+      alarm->set(host.clock().now() + Span::ms(10));
+      co_await alarm->rung();
+    }
+    host.stop();
   };
   ends.async_wait([&](const boost::system::error_code& error, int) {
     if (error) return;
     lines.say(spdlog::level::info, "stopping", 0, "", std::to_string(office.sessions()) + " sessions held");
     office.stop(host.clock().now());
     host.attendance().nudge();
-    patience.expires_after(kStopWithin);
-    untilStopped();
+    asio::co_spawn(host.context(), untilStopped(), asio::detached);
   });
   std::function<void()> onLevel = [&] {
     levels.async_wait([&](const boost::system::error_code& error, int) {
--- a/src/net/real.cpp
+++ b/src/net/real.cpp
@@ -163,7 +163,11 @@
 }
 
 std::unique_ptr<RealPort> bindPort(asio::any_io_executor executor, iax2::Address at) {
-  return std::make_unique<UdpPort>(executor, at);
+  try {
+    return std::make_unique<UdpPort>(executor, at);
+  } catch (const boost::system::system_error& error) {
+    throw std::runtime_error(iax2::text(at) + ": can't listen there: " + error.code().message());
+  }
 }
 
 }  // namespace thistlefold::net
--- a/src/net/real.hpp
+++ b/src/net/real.hpp
@@ -23,7 +23,7 @@
   virtual const PortCounts& counts() const = 0;
 };
 
-/// Port 0 takes a free one. Throws boost::system::system_error if the address can't be bound.
+/// Port 0 takes a free one. Throws std::runtime_error that names the address if it can't be bound.
 std::unique_ptr<RealPort> bindPort(boost::asio::any_io_executor executor, iax2::Address at);
 
 }  // namespace thistlefold::net
--- a/tests/commands.sh
+++ b/tests/commands.sh
@@ -80,6 +80,8 @@
   "$program" status "127.0.0.1:$a" --json 2>/dev/null | grep -q '"exchange":"south","listed":"ready"' && break
   sleep 0.1
 done
+check "a port that is taken" status 2 "$program" serve "$folder/north.sexp"
+check "... is named" says "127.0.0.1:$a: can't listen there"
 check "load through two offices" status 0 "$program" load "$folder/fleet.sexp" --rate 40 --for 2
 check "... stands" says "refused 0, failed 0, cut 0"
 check "status" status 0 "$program" status "127.0.0.1:$a"
