Module and adapter: an event told twice, late or about something closed changes nothing

Seen: a session told of twice was decided on twice: an INVITE, then busy-replied while it rang. A ticket told of twice stopped the adapter. Ruled out: abandoned in any order, accepted of a session that is over, unknown tickets: they were taken as they should be. Lines at fault: incoming(), accepted(), ended() in src/rules.cpp took every event at its word; ended() in src/drill/drill.cpp did not look at the attempt's index and made an exchange of every number named; events of a batch that could not be read stayed in the office, pointing into it. Change: a session is taken once, an INVITE ends once, at the exchange where it is out and under its own index; all else is passed over with one message. A final end closes a session whatever is out.

--- a/src/drill/drill.cpp
+++ b/src/drill/drill.cpp
@@ -248,22 +248,24 @@
     controller_ = openOffice(data_, from);
   }
 
-  void expect(Event event) { events_.push_back(std::move(event)); }
-
-  void play(Instant now, Writer& writer) {
+  void play(Instant now, const std::vector<Event>& events, Writer& writer) {
+    events_ = &events;
     controller_->round(now, *this, writer);
     std::erase_if(sessions_,
                   [](const auto& entry) { return entry.second->over && entry.second->ringingAt == nullptr; });
   }
 
   void deliver(Controller&) override {
-    const std::vector<Event> events = std::exchange(events_, {});
-    for (const Event& event : events) {
+    for (const Event& event : *events_) {
       const Value& fields = *event.fields;
       if (event.name == "INCOMING") {
         incoming(fields);
       } else if (event.name == "ACCEPTED") {
-        if (Session* session = held(fields)) controller_->accepted(*session, span(fields, "Lag"));
+        Session* session = held(fields);
+        // Of the INVITE that is out, not of one before it.
+        if (session != nullptr && integer(fields, "Trial", session->invites - 1) == session->invites - 1) {
+          controller_->accepted(*session, span(fields, "Lag"));
+        }
       } else if (event.name == "ENDED") {
         ended(fields);
       } else if (event.name == "ABANDONED") {
@@ -327,14 +329,20 @@
     const auto read = std::from_chars(item.data(), item.data() + item.size(), session->dialledNumber, 16);
     if (read.ec != std::errc()) wrong("Item", "hex digits are wanted");
     TicketedSession& kept = *session;
-    if (!sessions_.emplace(kept.ticket, std::move(session)).second) wrong("Ticket", "given twice");
-    controller_->incoming(kept);
+    if (sessions_.emplace(kept.ticket, std::move(session)).second) return controller_->incoming(kept);
+    std::cerr << "thistlefold_drill: told of twice: " << name(fields, "Ticket") << '\n';
   }
 
   void ended(const Value& fields) {
-    ListedExchange& at = exchange(exchangeId(fields));
+    const auto listed = exchanges_.find(exchangeId(fields));
     Session* session = held(fields);
     if (session == nullptr) return;
+    // An outcome told again must not end the INVITE that followed, maybe to the same exchange.
+    if (listed == exchanges_.end() || integer(fields, "Trial", session->invites - 1) != session->invites - 1) {
+      std::cerr << "thistlefold_drill: no such INVITE out: " << name(fields, "Ticket") << '\n';
+      return;
+    }
+    ListedExchange& at = *listed->second;
     feedback(at, object(fields, "Feedback"));
     const int note = integer(fields, "Note", 0);
     const int reason = note & 15;
@@ -406,7 +414,7 @@
   std::map<std::uint32_t, std::unique_ptr<ListedExchange>> exchanges_;
   std::map<int, Exchange*> places_;
   std::unordered_map<std::string, std::unique_ptr<TicketedSession>> sessions_;
-  std::vector<Event> events_;
+  const std::vector<Event>* events_ = nullptr;  // of the batch that is being answered
   std::unique_ptr<Controller> controller_;
 };
 
@@ -431,7 +439,8 @@
   const Instant now = Instant::ms(number(batch, "Time"));
   if (find(batch, "arrivals") == nullptr) wrong("arrivals", "missing");
 
-  std::vector<std::string> touched;
+  // By instance, in the order in which they were touched. Gone with the batch, also where a line of it can't be read.
+  std::vector<std::pair<std::string, std::vector<Event>>> touched;
   for (const Value& message : array(batch, "arrivals").GetArray()) {
     if (!message.IsObject() || message.MemberCount() != 1 || !message.MemberBegin()->value.IsObject()) {
       wrong("arrivals", "objects of a single message are wanted");
@@ -459,13 +468,16 @@
       std::cerr << "thistlefold_drill: " << kind << " for " << instance << ", which is not running\n";
       continue;
     }
-    if (std::find(touched.begin(), touched.end(), instance) == touched.end()) touched.push_back(instance);
     Event event{kind, &fields, nullptr};
     if (kind == "MEMBERS") {
       const auto list = state_->lists.find(integer(fields, "Bank", -1));
       if (list != state_->lists.end()) event.list = list->second;
     }
-    office->second->expect(std::move(event));
+    auto events = std::find_if(touched.begin(), touched.end(), [&](const auto& one) { return one.first == instance; });
+    if (events == touched.end()) events = touched.insert(touched.end(), {instance, {}});
+    // A start is another life: what came for the one before is void.
+    if (kind == "START") events->second.clear();
+    events->second.push_back(std::move(event));
   }
 
   rapidjson::StringBuffer reply;
@@ -474,12 +486,12 @@
   json.StartObject();
   json.Key("actions");
   json.StartArray();
-  for (const std::string& instance : touched) {
+  for (const auto& [instance, events] : touched) {
     const auto office = state_->offices.find(instance);
     if (office == state_->offices.end()) continue;
     Sender sender(json, instance);
     try {
-      office->second->play(now, sender);
+      office->second->play(now, events, sender);
     } catch (const WireFault&) {
       throw;
     } catch (const std::exception& failure) {
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -77,7 +77,13 @@
 
   void reported(Exchange& exchange, double canTake) override { exchange.canTake.add(now_, canTake); }
 
+  // Whatever is told twice, late, out of order or about something closed changes nothing that stands: a session
+  // is taken once, an INVITE ends once, and what is not out can't be answered. Guards against datagrams that
+  // come again and far ends that mix up their calls: each could have left a session here twice, for two INVITEs
+  // or two answers, or freed while its INVITE was still looked up.
   void incoming(Session& session) override {
+    if (session.taken || session.over) return;
+    session.taken = true;
     session.dialled = session.transit ? now_ : firstDialled(session);
     const bool isRedial = session.dialled < now_;
     session.due = now_;
@@ -96,9 +102,9 @@
   }
 
   void accepted(Session& session, Span postDialDelay) override {
-    session.standing = true;
     Exchange* at = session.ringingAt;
-    if (at == nullptr) return;
+    if (at == nullptr || session.standing) return;
+    session.standing = true;
     std::erase(at->ringing, &session);
     leftOwnLine(session);
     if (twoLegs(session, *at)) at->farLegs[session.destination].carried = true;
@@ -110,6 +116,10 @@
 
   void ended(Session& session, Exchange& at, Ending ending, Reason reason, bool farProcessor, Span toldWait,
              bool final) override {
+    if (session.ringingAt != &at) {
+      if (final) abandoned(session);
+      return;
+    }
     std::erase(at.ringing, &session);
     if (ending == Ending::full || ending == Ending::fault || ending == Ending::ok) leftOwnLine(session);
     std::erase(ownLine_, &session);
--- a/tests/runner.cpp
+++ b/tests/runner.cpp
@@ -239,6 +239,9 @@
   void event(const std::string& verb, std::istream& words) {
     if (verb == "session") {
       take(words);
+    } else if (verb == "again") {
+      Session& which = session(words);
+      events_.push_back([&which](Controller& controller) { controller.incoming(which); });
     } else if (verb == "accepted") {
       Session& which = session(words);
       const Span delay = span(words);
