A processor is not judged by INVITEs that went to the one it replaced

Seen: an exchange replaced while INVITEs were out at the old processor was refused everything until they timed out, their age taken for its line; their time-outs then condemned the new processor; an answer to a repeat counted the dead time as its delay. Ruled out: lastTrial (used only once condemned anew), far legs (turn-backs tell of circuits, which a replacement keeps), heldUntil and reported room (cleared when the list tells), a flap that is told as ready again with the same start (cleared, at the cost of two silent INVITEs). Lines at fault: judge(), delayAt(), accepted() and listed() in src/rules.cpp looked at no start. Change: what was sent before the start is no evidence; own_ is the last that was told ready.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -51,7 +51,8 @@
     if (std::find(exchanges_.begin(), exchanges_.end(), &exchange) == exchanges_.end()) {
       exchanges_.push_back(&exchange);
     }
-    if (exchange.own) own_ = &exchange;
+    // A machine that took the own one's place may be told of before that one is told gone.
+    if (exchange.own && (own_ == nullptr || readiness == Readiness::ready)) own_ = &exchange;
     if (readiness == Readiness::ready && (exchange.readiness != readiness || started > exchange.started)) {
       // Another processor than the one that was judged.
       exchange.answered.clear();
@@ -109,7 +110,8 @@
     leftOwnLine(session);
     if (twoLegs(session, *at)) at->farLegs[session.destination].carried = true;
     judge(session, *at, true);
-    if (lateBy_ > Span::none()) return;
+    // Sent to the processor before: the new one answered a repeat.
+    if (lateBy_ > Span::none() || session.sentAt < at->started) return;
     if (at == session.destination) at->postDialDelays.add(now_, postDialDelay);
     delays_.add(now_, postDialDelay);
   }
@@ -381,7 +383,8 @@
   // The processor of a destination and the office behind a tandem fail apart, so each is judged by its own
   // outcomes. Silence behind a tandem is laid at its door only while the destination is not the silent one.
   void judge(const Session& session, Exchange& at, bool answered) {
-    if (!answered && (lateBy_ > Span::none() || answeredSince(at, session.sentAt))) return;
+    if (!answered && (lateBy_ > Span::none() || session.sentAt < at.started)) return;
+    if (!answered && answeredSince(at, session.sentAt)) return;
     const bool relay = twoLegs(session, at);
     if (relay && !answered && condemned(session.destination->answered)) return;
     (relay ? at.relayed : at.answered).add(now_, answered);
@@ -502,7 +505,11 @@
 
   Span delayAt(const Exchange& at) const {
     const Span delay = quantile(at.postDialDelays, 0.5, 1);
-    return at.ringing.empty() ? delay : std::max(delay, now_ - at.ringing.front()->sentAt);
+    for (const Session* session : at.ringing) {
+      // What the processor before left unanswered is no line of this one.
+      if (session->sentAt >= at.started) return std::max(delay, now_ - session->sentAt);
+    }
+    return delay;
   }
 
   // Samples older than this tell of another state of the processor. About the longest post-dial target.
