The first session of all towards a cold exchange is let in

Seen: an office that was just started refused its first session towards a cold exchange, however empty both were: rate() was 0 below two sessions, so the budget was 0 and no count of sessions is below it. With all offices and exchanges started together that is the first caller of each. Ruled out: more than two in a tip window, which the count of INVITEs still bounds; transit, which never met that test. Lines at fault: rate() in src/rules.cpp. Change: one session makes a rate over the quarter window that was there already. Test: cold-first.txt (busy before, INVITE after).

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -567,10 +567,11 @@
 
   // Redials are left out: they come the faster the less can be taken.
   double rate() const {
-    if (offered_.size() < 2) return 0;
+    if (offered_.size() == 0) return 0;
     double first = 0;
     for (std::size_t i = 0; i < offered_.size(); ++i) first += offered_[i].value.first;
-    // Over a quarter of the tip window at least: the first few sessions after a start say nothing of a rate.
+    // Over a quarter of the tip window at least: the first few sessions after a start say nothing of a rate, but
+    // the first of all must not be one too many.
     const Span over = std::max(now_ - offered_[0].at, data_.tipAfter * 0.25);
     return over > Span::none() ? 1000.0 * first / over.ms() : 0;
   }
