Office: late signs of life, the room of a replaced exchange, a directory behind, endless ringing

Lines at fault: ponged(), lose(), list(), withRoom()'s sources and the control frames in heard(), src/office/office.cpp. Change: a PONG counts from the POKE that it answers, and one that answers an earlier POKE than has been answered is passed over; a leg opened after that POKE is probed, not dropped; room is forgotten with its processor; an older directory is believed once the newer has been silent for ten seconds; ringing is passed on once. lastBeyond, never read, is gone.

--- a/src/iax2/endpoint.cpp
+++ b/src/iax2/endpoint.cpp
@@ -25,6 +25,10 @@
 
 }  // namespace
 
+std::uint32_t pokeStamp(Instant now) {
+  return static_cast<std::uint32_t>(static_cast<std::uint64_t>(std::max(0.0, (now - Instant()).ms())));
+}
+
 Endpoint::Endpoint(Door& door, std::uint64_t seed, Patience patience)
     : door_(door), patience_(patience), chance_(static_cast<std::uint32_t>(seed ^ seed >> 32) | 1u) {}
 
@@ -214,7 +218,7 @@
 void Endpoint::poke(Instant now, Address to) {
   Head head;
   head.source = kPokeNumber;
-  head.timestamp = since(Instant(), now);
+  head.timestamp = pokeStamp(now);
   head.subclass = static_cast<std::uint8_t>(Iax::POKE);
   post(to, encode(head, {}));
 }
--- a/src/iax2/endpoint.hpp
+++ b/src/iax2/endpoint.hpp
@@ -20,6 +20,9 @@
 class Call;
 class Endpoint;
 
+/// What a POKE sent now carries and its PONG brings back: milliseconds of the clock, modulo 2^32.
+std::uint32_t pokeStamp(Instant now);
+
 enum class Gone {
   hungUp,      // HANGUP or REJECT came from the far end; the frame has been passed on by heard()
   finished,    // this end hung up and the far end has confirmed
--- a/src/office/office.cpp
+++ b/src/office/office.cpp
@@ -32,6 +32,10 @@
 // An office that waits for a list this long asks again.
 constexpr Span kListWithin = Span::ms(1000);
 
+// A directory sends its list each second. One of an earlier start that still speaks after the newer has been silent for so
+// long has taken its place, with a clock that is behind; a datagram that was late is never that late.
+constexpr Span kDirectoryTerm = Span::ms(10000);
+
 // A terminating session is ended here this much after its sender should have ended it.
 constexpr Span kSenderFirst = Span::ms(500);
 
@@ -48,6 +52,7 @@
   Readiness told = Readiness::gone;
   std::uint64_t start = 0;  // the directory's mark of its processor
   std::uint64_t mark = 0;   // its own mark, from PONG
+  Instant aliveAt = Instant::longAgo();  // when the newest POKE was sent that it has answered
   Instant heardAt = Instant::longAgo();
   Instant pokedAt = Instant::longAgo();
   bool silent = false;
@@ -74,9 +79,9 @@
   std::size_t offer = 0;
   Instant giveUpAt = Instant::never();
   bool acceptedIn = false;
+  bool rang = false;  // RINGING or PROCEEDING has been passed on
   Reason lastReason = Reason::none;
   Ending lastEnding = Ending::ok;
-  bool lastBeyond = false;
   bool queued = false;  // in done_
   std::list<Held>::iterator self;
 };
@@ -375,7 +380,8 @@
     return;
   }
   if (frame.is(iax2::Control::ringing) || frame.is(iax2::Control::proceeding)) {
-    if (held->state == Held::State::ringing && held->acceptedIn && held->in != nullptr) {
+    // Once: each frame that is passed on waits for its acknowledgement, and sequence numbers have eight bits.
+    if (held->state == Held::State::ringing && held->acceptedIn && held->in != nullptr && !std::exchange(held->rang, true)) {
       endpoint_.send(now_, *held->in->call, static_cast<iax2::Control>(frame.subclass));
     }
     return;
@@ -476,7 +482,6 @@
   }
   held.lastReason = reason;
   held.lastEnding = ending;
-  held.lastBeyond = beyond;
   tell(Happening::What::ended, &held, held.at,
        ending == Ending::timedOut        ? "timed out"
        : ending == Ending::reset         ? "reset"
@@ -961,35 +966,44 @@
   Peer* peer = nullptr;
   if (from == own_->site.processor) {
     peer = own_;
-    if (frame.elements.canTake) {
-      own_->canTake = *frame.elements.canTake / 1000.0;
-      own_->canTakeAt = now_;
-    }
   } else if (const auto it = byOffice_.find(from); it != byOffice_.end()) {
     peer = it->second;
   }
   if (peer == nullptr || !frame.elements.started) return;
+  // It was alive when the POKE was sent that this answers; when this came in says less, as it may have waited on the way
+  // or here. One that answers an earlier POKE than has been answered is late, maybe of one that was started anew
+  // since: marks alone don't tell which came first, as clocks may begin again.
+  const auto ago = static_cast<std::int32_t>(iax2::pokeStamp(now_) - frame.timestamp);
+  const Instant aliveAt = now_ - Span::ms(ago);
+  if (ago < 0 || aliveAt + Span::ms(1) < peer->aliveAt) return;
   if (peer->silent) tell(Happening::What::peerBack, nullptr, peer, "");
   peer->silent = false;
   const std::uint64_t mark = *frame.elements.started;
   if (peer != own_) mirrors_.started(peer->place, mark);
   if (peer->mark != 0 && mark != peer->mark) lose(*peer, true);
   peer->mark = mark;
+  peer->aliveAt = aliveAt;
   peer->heardAt = now_;
+  if (peer == own_ && frame.elements.canTake) {
+    own_->canTake = *frame.elements.canTake / 1000.0;
+    own_->canTakeAt = now_;
+  }
 }
 
 /// A peer was started anew and knows none of its sessions, or has been silent for too long.
 void Office::lose(Peer& peer, bool restarted) {
   tell(Happening::What::peerLost, nullptr, &peer, restarted ? "started anew" : "silent");
   peer.silent = !restarted;
+  // What it could take was said of the processor before.
+  if (&peer == own_) own_->canTake = -1;
   std::vector<Leg*> lost;
   for (Leg& leg : legs_) {
     if (leg.peer == &peer) lost.push_back(&leg);
   }
   for (Leg* leg : lost) {
-    // Opened after its last sign of life under the old mark: it may belong to the new one. A probe tells, as it
-    // is answered INVAL by one that does not know the call.
-    if (restarted && leg->openedAt > peer.heardAt) {
+    // Opened after the last POKE that was answered under the old mark: it may belong to the new one. A probe tells, as
+    // it is answered INVAL by one that does not know the call.
+    if (restarted && leg->openedAt > peer.aliveAt) {
       endpoint_.send(now_, *leg->call, iax2::Iax::PING);
       continue;
     }
@@ -1032,17 +1046,20 @@
 }
 
 void Office::list(const ExchangeList& list) {
-  if (std::pair(list.directory, list.version) <= std::pair(listFrom_, listVersion_)) {
+  const bool older = std::pair(list.directory, list.version) <= std::pair(listFrom_, listVersion_);
+  if (older && (list.directory == listFrom_ || now_ - listAt_ <= kDirectoryTerm)) {
     ++tally_.listsStale;
     return;
   }
   listFrom_ = list.directory;
   listVersion_ = list.version;
+  listAt_ = now_;
   askedAt_ = Instant::never();
   ++tally_.listsTaken;
   const auto tellModule = [&](Peer& peer, Readiness readiness, Instant started) {
     if (peer.told == readiness && peer.started == started) return;
     peer.told = readiness;
+    if (&peer == own_) own_->canTake = -1;
     tell(Happening::What::listed, nullptr, &peer,
          readiness == Readiness::ready ? "ready" : readiness == Readiness::draining ? "draining" : "gone");
     Event listed(Event::Kind::listed);
--- a/src/office/office.hpp
+++ b/src/office/office.hpp
@@ -182,6 +182,7 @@
   Instant askedAt_ = Instant::never();
   std::uint64_t listFrom_ = 0;
   std::uint64_t listVersion_ = 0;
+  Instant listAt_ = Instant::longAgo();  // when that came
   std::uint64_t startMark_;
   std::uint32_t serial_ = 0;
   std::size_t standing_ = 0;
--- a/tests/program/office.cpp
+++ b/tests/program/office.cpp
@@ -351,3 +351,143 @@
   CHECK(office.told(1) == Readiness::ready);
   CHECK(office.trunk(1)->size() == 4);
 }
+
+TEST_CASE("a sign of life of an office's former life, late on its way, costs its new life nothing") {
+  Town town(smallFleet(2, 10));
+  town.open();
+  Dialler callers(town);
+  bool former = true;
+  town.fate = [&](iax2::Address from, iax2::Address to, std::vector<std::uint8_t>& bytes) {
+    iax2::Frame frame;
+    iax2::decode(bytes, frame);
+    const bool sign = from == day::officeIdentity(1) && to == day::officeIdentity(0) && frame.is(iax2::Iax::PONG);
+    // Doubled, and the second copy four seconds late.
+    return sign && former ? std::vector<Span>{Span::ms(5), Span::ms(4000)} : std::vector<Span>{Span::ms(5)};
+  };
+  town.run(2000);
+  former = false;
+  town.note("kill e2");
+  town.stage().killOffice(1);
+  town.run(300);
+  town.note("start e2");
+  town.stage().startOffice(1, 70);
+  town.run(1500);
+  for (int i = 0; i < 3; ++i) callers.dial(0, "21000" + std::to_string(i));
+  town.run(300);
+  REQUIRE(callers.phone.count("ANSWER") == 3);
+  town.run(6000);
+  CHECK(callers.phone.count("HANGUP") == 0);
+  CHECK(town.account(0, "cut") == 0);
+  CHECK(town.findings().kept());
+}
+
+TEST_CASE("what an exchange could take is not told of the one in its place, nor of one that is gone") {
+  Town town(smallFleet(2, 10));
+  town.open();
+  Dialler callers(town);
+  bool blind = false;
+  int told = 0, refused = 0;
+  town.fate = [&](iax2::Address from, iax2::Address to, std::vector<std::uint8_t>& bytes) {
+    iax2::Frame frame;
+    const bool read = iax2::decode(bytes, frame) == iax2::Reading::full;
+    // The first office's own list lags, as lists do, so that it goes on sending.
+    if (blind && from == day::kDirectory && to == day::officeIdentity(0)) return std::vector<Span>();
+    if (blind && read && from == day::officeIdentity(1) && to == day::officeIdentity(0) && frame.is(iax2::Iax::REJECT)) {
+      ++refused;
+      told += frame.elements.canTake.has_value();
+    }
+    return std::vector<Span>{Span::ms(5)};
+  };
+  blind = true;
+  // Its process is replaced by one that hangs from the start: it gives signs of life, and says nothing of its room.
+  town.exchange(1, false).hang(town.now(), true);
+  town.learns(1, Readiness::draining, town.at(1).mark());
+  town.run(350);
+  callers.dial(0, "210001");
+  town.run(100);
+  REQUIRE(refused == 1);
+  CHECK(told == 0);
+}
+
+TEST_CASE("a directory in another's place whose clock is behind is believed once that one has been silent") {
+  Fleet fleet = smallFleet(2, 10);
+  fleet.directory = {9, 9};
+  Office office(fleet, OfficeSetting(), Instant::ms(1000));
+  const auto take = [&](double at, std::uint64_t directory, std::uint64_t version, Readiness readiness) {
+    const std::string text = encode(ExchangeList{directory, version, true, {{0, Readiness::ready, 1, Span::ms(10)}, {1, readiness, 2, Span::ms(20)}}, {}});
+    office.take(Instant::ms(at), fleet.directory, std::span(reinterpret_cast<const std::uint8_t*>(text.data()), text.size()));
+  };
+  take(1000, 50, 7, Readiness::ready);
+  take(2000, 40, 1, Readiness::draining);  // may be late: the other was heard a second ago
+  CHECK(office.told(1) == Readiness::ready);
+  take(9000, 50, 8, Readiness::ready);
+  take(18000, 40, 18, Readiness::draining);
+  CHECK(office.told(1) == Readiness::ready);
+  take(19001, 40, 19, Readiness::draining);
+  CHECK(office.told(1) == Readiness::draining);
+  take(19500, 40, 18, Readiness::ready);  // its own order holds
+  CHECK(office.told(1) == Readiness::draining);
+  CHECK(office.tally().listsStale == 3);
+}
+
+TEST_CASE("an exchange that rings three hundred times is passed on once, and its answer is heard") {
+  Town town(smallFleet(2, 10));
+  town.open();
+  Telephone bell(3);
+  town.stage().remove(day::processorIdentity(1));
+  town.run(5);
+  town.stage().place(day::processorIdentity(1), bell);
+  Dialler callers(town);
+  callers.dial(0, "210001");
+  town.run(100);
+  REQUIRE(bell.calls.size() == 1);
+  bell.endpoint().send(town.now(), *bell.calls[0], iax2::Iax::ACCEPT);
+  for (int i = 0; i < 300; ++i) {
+    bell.endpoint().send(town.now(), *bell.calls[0], iax2::Control::ringing);
+    if (i % 50 == 49) {
+      town.stage().nudge(day::processorIdentity(1));
+      town.run(15);  // acknowledged before the next fifty
+    }
+  }
+  bell.endpoint().send(town.now(), *bell.calls[0], iax2::Control::answer);
+  town.stage().nudge(day::processorIdentity(1));
+  town.run(100);
+  CHECK(callers.phone.count("RINGING") == 1);
+  CHECK(callers.phone.count("ANSWER") == 1);
+  town.stage().remove(day::processorIdentity(1));
+  town.run(10);
+}
+
+TEST_CASE("signs of life that waited in a frozen office say nothing of what was opened since") {
+  Town town(smallFleet(2, 10));
+  town.open();
+  Dialler callers(town);
+  // The other office answers, dies and is back while this one stands still: both signs of life wait there, and a NEW.
+  bool slow = true, asked = false;
+  town.fate = [&](iax2::Address from, iax2::Address to, std::vector<std::uint8_t>& bytes) {
+    iax2::Frame frame;
+    iax2::decode(bytes, frame);
+    const bool sign = from == day::officeIdentity(1) && to == day::officeIdentity(0) && frame.is(iax2::Iax::PONG);
+    asked = asked || (from == day::officeIdentity(0) && to == day::officeIdentity(1) && frame.is(iax2::Iax::POKE));
+    return std::vector<Span>{Span::ms(sign && slow ? 400 : 5)};
+  };
+  for (int i = 0; i < 1500 && !asked; ++i) town.run(1);
+  REQUIRE(asked);
+  town.run(100);
+  slow = false;
+  town.freeze(0, true);
+  town.note("kill e2");
+  town.stage().killOffice(1);
+  town.run(50);
+  town.note("start e2");
+  town.stage().startOffice(1, 70);
+  town.run(800);
+  callers.dial(0, "210001");
+  town.run(700);
+  town.freeze(0, false);
+  town.run(4000);
+  CHECK(callers.phone.count("ANSWER") == 1);
+  CHECK(town.account(0, "invites") == 1);
+  CHECK(town.account(0, "reset") == 0);
+  CHECK(town.findings().kept());
+}
