Numbers that callers dial fill no table without end; starts are ordered over a host's restart

Seen: busyNumbers_ of src/rules.cpp kept every number whose lines were ever busy, and refused_ had no bound but a timer limit's time and is walked for each session. Change: 4,096 of each; the oldest refusal is forgotten, a further busy number is not noted. Seen: an office's start mark came from the steady clock, which begins anew with the host, so that an office on a restarted host looked like an earlier life of itself: its legs were counted twice in the zones' account (src/zones/mirror.cpp) and its words about budgets passed over for a term.

--- a/src/net/real.cpp
+++ b/src/net/real.cpp
@@ -15,6 +15,15 @@
 namespace asio = boost::asio;
 using Steady = std::chrono::steady_clock;
 
+// The steady clock begins with the host, so what an office says of its start would go back when a host is started anew, and
+// another office would take it for the earlier one. Counted from the day's time as it was when this process began, it
+// goes on, and still never jumps.
+Span ofDay() {
+  using std::chrono::duration;
+  return Span::ms(duration<double, std::milli>(std::chrono::system_clock::now().time_since_epoch()).count() -
+                  duration<double, std::milli>(Steady::now().time_since_epoch()).count());
+}
+
 Instant instant(Steady::time_point at) {
   return Instant::ms(std::chrono::duration<double, std::milli>(at.time_since_epoch()).count());
 }
@@ -29,12 +38,12 @@
 
 class RealAlarm final : public Alarm {
  public:
-  explicit RealAlarm(const asio::any_io_executor& executor) : timer_(executor, Steady::time_point::max()) {}
+  RealAlarm(const asio::any_io_executor& executor, Span ofDay) : timer_(executor, Steady::time_point::max()), ofDay_(ofDay) {}
 
   void set(Instant at) override {
     if (closed_ || at == at_) return;
     at_ = at;
-    timer_.expires_at(timePoint(at));  // ends the wait, which then begins anew
+    timer_.expires_at(timePoint(at - ofDay_));  // ends the wait, which then begins anew
   }
   asio::awaitable<void> rung() override {
     while (!closed_) {
@@ -54,6 +63,7 @@
 
  private:
   asio::steady_timer timer_;
+  Span ofDay_;
   Instant at_ = Instant::never();
   bool closed_ = false;
 };
@@ -61,10 +71,11 @@
 class RealClock final : public Clock {
  public:
   explicit RealClock(asio::any_io_executor executor) : executor_(std::move(executor)) {}
-  Instant now() const override { return instant(Steady::now()); }
-  std::unique_ptr<Alarm> alarm() override { return std::make_unique<RealAlarm>(executor_); }
+  Instant now() const override { return instant(Steady::now()) + ofDay_; }
+  std::unique_ptr<Alarm> alarm() override { return std::make_unique<RealAlarm>(executor_, ofDay_); }
 
  private:
+  const Span ofDay_ = ofDay();
   asio::any_io_executor executor_;
 };
 
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -284,7 +284,10 @@
   void refuse(Session& session, Span retryAfter) {
     if (session.over) return;
     session.over = true;
-    if (!session.transit) refused_.push_back({session.dialledNumber, session.service, session.dialled});
+    if (!session.transit) {
+      if (refused_.size() == kNumbers) refused_.erase(refused_.begin());
+      refused_.push_back({session.dialledNumber, session.service, session.dialled});
+    }
     if (session.mayHaveRun && !session.service->repeatable) return writer_->surrender(session);
     writer_->busy(session,
                   data_.takesRetryAfter ? std::min(retryAfter, data_.longestRetryAfter) : Span::none());
@@ -306,6 +309,20 @@
     return busy != busyNumbers_.end() && now_ - busy->second < session.service->meanHold * 0.1;
   }
 
+  // What callers dial can be anything. At the bound the oldest refusal is forgotten, and a further busy number is
+  // not noted: either costs an INVITE. 450 refusals a second for a timer limit of nine seconds fit.
+  static constexpr std::size_t kNumbers = 4096;
+
+  void rememberBusy(const Session& session) {
+    if (busyNumbers_.size() >= kNumbers && !busyNumbers_.contains(session.dialledNumber)) {
+      Span longest;
+      for (const Service& service : data_.services) longest = std::max(longest, service.meanHold * 0.1);
+      std::erase_if(busyNumbers_, [&](const auto& one) { return now_ - one.second >= longest; });
+      if (busyNumbers_.size() >= kNumbers) return;
+    }
+    busyNumbers_[session.dialledNumber] = now_;
+  }
+
   Span comeBack() const { return data_.longestRetryAfter; }
 
   Instant targetOf(const Session& session) const {
@@ -343,7 +360,7 @@
       case Ending::ok:
       case Ending::fault:
         judge(session, at, true);
-        if (reason == Reason::lineBusy) busyNumbers_[session.dialledNumber] = now_;
+        if (reason == Reason::lineBusy) rememberBusy(session);
         break;
       case Ending::full:
         judge(session, at, true);
