Taken out: the excuse for silence behind a tandem, and a log that nobody wrote to

Need: what was shown idle. Writer::log was never called by the module; with it go the adapter's LOG and the office's 'strange'. A parameter that nothing read is gone too.

--- a/include/thistlefold/writer.hpp
+++ b/include/thistlefold/writer.hpp
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <string_view>
-
 #include "thistlefold/time.hpp"
 
 namespace thistlefold {
@@ -18,7 +16,6 @@
   virtual void surrender(const Session& session) = 0;
   virtual void wakeIn(Span delay) = 0;
   virtual void subscribe() = 0;
-  virtual void log(std::string_view text) = 0;
 };
 
 }  // namespace thistlefold
--- a/src/command/serve.cpp
+++ b/src/command/serve.cpp
@@ -54,12 +54,12 @@
   }
   void operator()(const Happening& one) {
     using What = Happening::What;
-    static constexpr std::string_view kEvents[] = {"taken",     "invited",   "stood",  "ended",  "refused", "cut",
-                                                   "peer-lost", "peer-back", "listed", "strange"};
+    static constexpr std::string_view kEvents[] = {"taken", "invited",   "stood",     "ended", "refused",
+                                                   "cut",   "peer-lost", "peer-back", "listed"};
     const bool session = one.what <= What::cut;
-    say(session                                                    ? spdlog::level::debug
-        : one.what == What::peerLost || one.what == What::strange ? spdlog::level::warn
-                                                                   : spdlog::level::info,
+    say(session                       ? spdlog::level::debug
+        : one.what == What::peerLost ? spdlog::level::warn
+                                     : spdlog::level::info,
         kEvents[static_cast<std::size_t>(one.what)], one.session, one.exchange, one.reason);
   }
   spdlog::logger& log() { return *log_; }
--- a/src/drill/drill.cpp
+++ b/src/drill/drill.cpp
@@ -193,11 +193,6 @@
     json_.Bool(true);
     close();
   }
-  void log(std::string_view line) override {
-    open("LOG");
-    field("ReasonText", line);
-    close();
-  }
   void die(std::string_view reason) {
     open("DIE");
     field("ReasonText", reason);
--- a/src/office/office.cpp
+++ b/src/office/office.cpp
@@ -859,8 +859,6 @@
   askedAt_ = now_;
 }
 
-void Office::log(std::string_view text) { tell(Happening::What::strange, nullptr, nullptr, text); }
-
 void Office::tell(Happening::What what, const Held* held, const Peer* peer, std::string_view reason) const {
   if (!watch_) return;
   watch_({what, held == nullptr ? 0 : held->id, peer == nullptr ? std::string_view() : peer->site.name, reason});
--- a/src/office/office.hpp
+++ b/src/office/office.hpp
@@ -31,7 +31,7 @@
 
 /// What an office tells those who watch it. Logs are written from this; nothing flows back.
 struct Happening {
-  enum class What { taken, invited, stood, ended, refused, cut, peerLost, peerBack, listed, strange };
+  enum class What { taken, invited, stood, ended, refused, cut, peerLost, peerBack, listed };
   What what;
   std::uint64_t session = 0;
   std::string_view exchange;  // the other place involved, or empty
@@ -116,7 +116,6 @@
   void surrender(const Session& session) override;
   void wakeIn(Span delay) override;
   void subscribe() override;
-  void log(std::string_view text) override;
 
   void fromCaller(iax2::Call& call, const iax2::Frame& frame);
   void fromPeer(Peer& peer, iax2::Call& call, const iax2::Frame& frame);
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -276,7 +276,7 @@
     ownLine_.push_back(&session);
     to.freeCircuits -= session.width;
     if (condemned(to.answered) || condemned(to.relayed)) to.lastTrial = now_;
-    writer_->invite(session, to, patience(session, to));
+    writer_->invite(session, to, patience(session));
     return true;
   }
 
@@ -347,7 +347,7 @@
 
   // An INVITE is given up when it can no longer earn the full value: what is late earns little and its
   // work is the next session's wait.
-  Span patience(const Session& session, const Exchange&) const {
+  Span patience(const Session& session) const {
     const Instant end = session.transit ? session.timerLimit : targetOf(session);
     return std::max(end - now_, Span::ms(1));
   }
@@ -398,12 +398,11 @@
   }
 
   // The processor of a destination and the office behind a tandem fail apart, so each is judged by its own
-  // outcomes. Silence behind a tandem is laid at its door only while the destination is not the silent one.
+  // outcomes.
   void judge(const Session& session, Exchange& at, bool answered) {
     if (!answered && (lateBy_ > Span::none() || session.sentAt < at.started)) return;
     if (!answered && answeredSince(at, session.sentAt)) return;
     const bool relay = twoLegs(session, at);
-    if (relay && !answered && condemned(session.destination->answered)) return;
     (relay ? at.relayed : at.answered).add(now_, answered);
     if (!relay) at.doubtful = !answered;
   }
--- a/tests/runner.cpp
+++ b/tests/runner.cpp
@@ -76,7 +76,6 @@
   void surrender(const Session& session) override { decide("surrender ", name(sessions_, session)); }
   void wakeIn(Span delay) override { wakeAt_ = std::min(wakeAt_, now_ + delay); }
   void subscribe() override { decide("subscribe"); }
-  void log(std::string_view) override {}
 
  private:
   template <typename T>
