A doubtful tandem is doubted for forty seconds at most

Seen: an exchange that once left a direct INVITE unanswered or cut a direct session was no tandem until a direct one was answered; where few dial it direct, or none, its groups stood shut to two-leg sessions for ever, long after the trouble. Ruled out: condemned exchanges (one trial a post-dial target), turn-backs (forty seconds), told waits, reported room (four seconds). Lines at fault: sound() and judge() in src/rules.cpp. Change: the mark is an instant, believed as long as a turn-back.

--- a/include/thistlefold/exchange.hpp
+++ b/include/thistlefold/exchange.hpp
@@ -32,7 +32,7 @@
 
   Samples<bool, 12> answered;           // outcomes as a destination: answered in any way, or not
   Samples<bool, 12> relayed;            // outcomes as a tandem
-  bool doubtful = false;                // a direct session went unanswered or was cut, and none was answered since
+  Instant doubtedAt = Instant::longAgo();  // a direct session went unanswered or was cut, none was answered since
   Samples<Span, 8> postDialDelays;      // of sessions that stood
   Samples<double, 16> canTake;          // set-ups a second that its processor said it can take
   Samples<Instant, 128> sent;           // INVITEs that went to or through it
--- a/src/office/office.cpp
+++ b/src/office/office.cpp
@@ -1128,7 +1128,7 @@
                                                : "gone")
         << "\",\"own\":" << (peer.own ? "true" : "false") << ",\"circuits\":" << peer.trunk.size()
         << ",\"free\":" << peer.trunk.free() << ",\"silent\":" << (peer.silent ? "true" : "false")
-        << ",\"doubtful\":" << (peer.doubtful ? "true" : "false") << ",\"ringing\":" << peer.ringing.size() << '}';
+        << ",\"doubtful\":" << (peer.doubtedAt != Instant::longAgo() ? "true" : "false") << ",\"ringing\":" << peer.ringing.size() << '}';
   }
   out << "]}";
   return out.str();
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -59,7 +59,7 @@
       exchange.relayed.clear();
       exchange.postDialDelays.clear();
       exchange.canTake.clear();
-      exchange.doubtful = false;
+      exchange.doubtedAt = Instant::longAgo();
       exchange.heldUntil = Instant::longAgo();
     }
     exchange.readiness = readiness;
@@ -129,7 +129,7 @@
     const bool stood = session.standing;
     session.standing = false;
     if (!stood) learn(session, at, ending, reason, farProcessor, toldWait);
-    if (ending == Ending::reset && !twoLegs(session, at)) at.doubtful = true;
+    if (ending == Ending::reset && !twoLegs(session, at)) at.doubtedAt = now_;
     if (final || session.over) {
       session.over = true;
       return;
@@ -404,7 +404,7 @@
     if (!answered && answeredSince(at, session.sentAt)) return;
     const bool relay = twoLegs(session, at);
     (relay ? at.relayed : at.answered).add(now_, answered);
-    if (!relay) at.doubtful = !answered;
+    if (!relay) at.doubtedAt = answered ? Instant::longAgo() : now_;
   }
 
   // Who answers others in the meantime is slow, not silent: that is for the delays to tell. Guards against
@@ -451,8 +451,8 @@
     if (at.readiness != Readiness::ready || now_ < at.heldUntil) return false;
     // Whoever left a direct INVITE unanswered or cut a direct session is no tandem until a direct one is
     // answered: there are others, and its empty groups would draw two-leg sessions before the directory
-    // tells.
-    if (twoLegs(session, at) && at.doubtful) return false;
+    // tells. Believed no longer than a far leg's turn-back: where few dial it direct nobody would ever acquit it.
+    if (twoLegs(session, at) && now_ - at.doubtedAt < kFading) return false;
     const bool sick = condemned(at.answered) || (twoLegs(session, at) && condemned(at.relayed));
     return !sick || trialDue(session, at);
   }
