--- /dev/null
+++ b/tests/program/clock.cpp
@@ -0,0 +1,34 @@
+// The real clock.
+
+#include <doctest/doctest.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <cmath>
+
+#include "net/real.hpp"
+
+using namespace thistlefold;
+
+TEST_CASE("a process counts on from the day's time, so that starts are ordered over a restart of the host, and alarms ring by it") {
+  boost::asio::io_context context;
+  const auto clock = net::realClock(context.get_executor());
+  const double day = std::chrono::duration<double, std::milli>(std::chrono::system_clock::now().time_since_epoch()).count();
+  CHECK(std::abs((clock->now() - Instant()).ms() - day) < 1000);
+  const auto alarm = clock->alarm();
+  const Instant set = clock->now();
+  Instant rung = Instant::longAgo();
+  alarm->set(set + Span::ms(20));
+  boost::asio::co_spawn(
+      context,
+      [&]() -> boost::asio::awaitable<void> {
+        co_await alarm->rung();
+        rung = clock->now();
+      },
+      boost::asio::detached);
+  context.run();
+  CHECK(rung - set >= Span::ms(20));
+  CHECK(rung - set < Span::ms(5000));
+}
--- a/tests/program/histories.cpp
+++ b/tests/program/histories.cpp
@@ -39,7 +39,7 @@
     town_.open();
     town_.stage().place(day::kCallers, phone_);
     town_.note("begin");
-    town_.fate = [this](iax2::Address, iax2::Address, std::vector<std::uint8_t>&) { return fate(); };
+    town_.fate = [this](iax2::Address from, iax2::Address to, std::vector<std::uint8_t>&) { return fate(from, to); };
     unrest_ = true;
     const Instant end = town_.now() + Span::ms(length);
     while (town_.now() < end) {
@@ -84,8 +84,10 @@
   double lot() { return std::generate_canonical<double, 32>(chance_); }
   int place() { return static_cast<int>(chance_() % kPlaces); }
 
-  std::vector<Span> fate() {
+  std::vector<Span> fate(iax2::Address from, iax2::Address to) {
     if (!unrest_) return {Span::ms(5)};
+    // Deaf one way: what goes from one office to another is lost, what comes back is not.
+    if (town_.now() < deafUntil_ && from == deafFrom_ && to == deafTo_) return {};
     if (lot() < 0.04) return {};
     const auto delay = [&] { return Span::ms(lot() < 0.08 ? 400 * lot() : 4 + 2 * lot()); };
     std::vector<Span> copies{delay()};
@@ -129,6 +131,10 @@
       town_.stage().nudge(day::processorIdentity(i));
     } else if (what < 0.96) {
       town_.learns(i, lot() < 0.5 ? Readiness::draining : Readiness::gone, town_.at(i).mark());
+    } else if (what < 0.965) {
+      deafFrom_ = town_.office(i);
+      deafTo_ = town_.office((i + 1) % kPlaces);
+      deafUntil_ = town_.now() + Span::ms(8000 * lot());
     } else if (what < 0.98) {
       // Another processor in its place; the directory tells sooner or later.
       town_.exchange(i, false);
@@ -143,6 +149,8 @@
   Town town_;
   Telephone phone_;
   bool unrest_ = false;
+  iax2::Address deafFrom_{}, deafTo_{};
+  Instant deafUntil_ = Instant::longAgo();
   bool frozen_[kPlaces] = {}, down_[kPlaces] = {};
 };
 
