An office that waits for a silent mate of its budget no longer spins

An office started anew waits, with its part unused, until all mates of its zone have told what they hold or a term has passed; meanwhile it was due at once, again and again, a core at 100% for up to ten seconds whenever a mate was silent. On the virtual clock that is for ever. Ruled out: the module's beat, shut rounds, the virtual clock (a stack of the spinning run; an alarm in the past each turn). Lines at fault: nextDue() in src/zones/lease.cpp. Change: due when settled, then at the term's end; words wake it before. Test: an office that waits for a silent mate (due > now fails before; under 30 turns in 12 s after).

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -78,10 +78,10 @@
 
   void reported(Exchange& exchange, double canTake) override { exchange.canTake.add(now_, canTake); }
 
-  // Whatever is told twice, late, out of order or about something closed changes nothing that stands: a session
-  // is taken once, an INVITE ends once, and what is not out can't be answered. Guards against datagrams that
-  // come again and far ends that mix up their calls: each could have left a session here twice, for two INVITEs
-  // or two answers, or freed while its INVITE was still looked up.
+  // Whatever is told twice, late, out of order or about something closed changes nothing that stands: a
+  // session is taken once, an INVITE ends once, and what is not out can't be answered. Guards against
+  // datagrams that come again and far ends that mix up their calls: each could have left a session here
+  // twice, for two INVITEs or two answers, or freed while its INVITE was still looked up.
   void incoming(Session& session) override {
     if (session.taken || session.over) return;
     session.taken = true;
@@ -309,8 +309,8 @@
     return busy != busyNumbers_.end() && now_ - busy->second < session.service->meanHold * 0.1;
   }
 
-  // What callers dial can be anything. At the bound the oldest refusal is forgotten, and a further busy number is
-  // not noted: either costs an INVITE. 450 refusals a second for a timer limit of nine seconds fit.
+  // What callers dial can be anything. At the bound the oldest refusal is forgotten, and a further busy
+  // number is not noted: either costs an INVITE. 450 refusals a second for nine seconds' timer limit fit.
   static constexpr std::size_t kNumbers = 4096;
 
   void rememberBusy(const Session& session) {
@@ -451,7 +451,7 @@
     if (at.readiness != Readiness::ready || now_ < at.heldUntil) return false;
     // Whoever left a direct INVITE unanswered or cut a direct session is no tandem until a direct one is
     // answered: there are others, and its empty groups would draw two-leg sessions before the directory
-    // tells. Believed no longer than a far leg's turn-back: where few dial it direct nobody would ever acquit it.
+    // tells. Believed no longer than a far leg's turn-back: where few dial it direct nobody would acquit it.
     if (twoLegs(session, at) && now_ - at.doubtedAt < kFading) return false;
     const bool sick = condemned(at.answered) || (twoLegs(session, at) && condemned(at.relayed));
     return !sick || trialDue(session, at);
@@ -586,8 +586,8 @@
     if (offered_.size() == 0) return 0;
     double first = 0;
     for (std::size_t i = 0; i < offered_.size(); ++i) first += offered_[i].value.first;
-    // Over a quarter of the tip window at least: the first few sessions after a start say nothing of a rate, but
-    // the first of all must not be one too many.
+    // Over a quarter of the tip window at least: the first few sessions after a start say nothing of a rate,
+    // but the first of all must not be one too many.
     const Span over = std::max(now_ - offered_[0].at, data_.tipAfter * 0.25);
     return over > Span::none() ? 1000.0 * first / over.ms() : 0;
   }
--- a/src/zones/lease.cpp
+++ b/src/zones/lease.cpp
@@ -510,7 +510,9 @@
 
 Instant Pool::nextDue() const {
   if (settleAt_ != Instant::never()) return settleAt_;
-  Instant due = waiting_ ? std::max(ranAt_, started_ + spans_.settle) : Instant::never();
+  Instant due = Instant::never();
+  // Once settled it waits for a word, or for the term to end; with a mate that is silent, due at once would be due for ever.
+  if (waiting_) due = ranAt_ < started_ + spans_.settle ? started_ + spans_.settle : started_ + spans_.term * (1 + spans_.drift) + kGrain;
   if (!talks()) return due;
   for (const Mate& mate : mates_) due = std::min(due, mate.spokenAt + (mate.wanted ? spans_.soonest : spans_.word));
   return due;
--- a/tests/program/lease.cpp
+++ b/tests/program/lease.cpp
@@ -367,3 +367,20 @@
   CHECK(allowance.used(now) <= 100);
   CHECK(allowance.admits(now, 0));
 }
+
+TEST_CASE("an office that waits for a silent mate is not due at once for ever") {
+  Pair two;
+  two.pools[0].reset();
+  two.start(1);
+  const Instant started = two.now;
+  int turns = 0;
+  for (Instant now = started; now < started + Span::ms(12000); ++turns) {
+    two.pools[1]->speak(now);
+    const Instant due = two.pools[1]->nextDue();
+    REQUIRE(due > now);
+    now = due;
+  }
+  // A word a second to the mate, the end of settling and the end of the term.
+  CHECK(turns < 30);
+  CHECK_FALSE(two.pools[1]->waiting());
+}
