Late copies of a dead peer's last sign of life neither keep it nor bring it back

Seen: a PONG counted from when it came in, so a copy 5.5 s late gave a dead peer's sessions as long again, and one that came after the silence was believed said 'back'. docs/wire.md said otherwise already. Ruled out: an office that stood still itself (silence then begins with its next round, as before). Lines at fault: ponged() in src/office/office.cpp. Change: silence counts from the POKE that was answered; a PONG as late as a silence is long says nothing. Tests share one way to set the fate of frames between offices.

--- a/src/office/office.cpp
+++ b/src/office/office.cpp
@@ -53,7 +53,7 @@
   std::uint64_t start = 0;  // the directory's mark of its processor
   std::uint64_t mark = 0;   // its own mark, from PONG
   Instant aliveAt = Instant::longAgo();  // when the newest POKE was sent that it has answered
-  Instant heardAt = Instant::longAgo();
+  Instant heardAt = Instant::longAgo();  // silence counts from here: aliveAt, or when this office could listen again
   Instant pokedAt = Instant::longAgo();
   bool silent = false;
   double canTake = -1;
@@ -970,10 +970,11 @@
   if (peer == nullptr || !frame.elements.started) return;
   // It was alive when the POKE was sent that this answers; when this came in says less, as it may have waited on the way
   // or here. One that answers an earlier POKE than has been answered is late, maybe of one that was started anew
-  // since: marks alone don't tell which came first, as clocks may begin again.
+  // since: marks alone don't tell which came first, as clocks may begin again. One that is as late as a silence is long
+  // says nothing.
   const auto ago = static_cast<std::int32_t>(iax2::pokeStamp(now_) - frame.timestamp);
   const Instant aliveAt = now_ - Span::ms(ago);
-  if (ago < 0 || aliveAt + Span::ms(1) < peer->aliveAt) return;
+  if (ago < 0 || now_ - aliveAt > setting_.peerSilent || aliveAt + Span::ms(1) < peer->aliveAt) return;
   if (peer->silent) tell(Happening::What::peerBack, nullptr, peer, "");
   peer->silent = false;
   const std::uint64_t mark = *frame.elements.started;
@@ -981,7 +982,7 @@
   if (peer->mark != 0 && mark != peer->mark) lose(*peer, true);
   peer->mark = mark;
   peer->aliveAt = aliveAt;
-  peer->heardAt = now_;
+  peer->heardAt = std::max(peer->heardAt, aliveAt);
   if (peer == own_ && frame.elements.canTake) {
     own_->canTake = *frame.elements.canTake / 1000.0;
     own_->canTakeAt = now_;
--- a/tests/program/office.cpp
+++ b/tests/program/office.cpp
@@ -91,12 +91,10 @@
   Town town(smallFleet(2, 10));
   town.open();
   // The exchange's answer leaves at 20 ms or so; held back until just after the office has given up.
-  town.fate = [&](iax2::Address from, iax2::Address to, std::vector<std::uint8_t>& bytes) {
-    iax2::Frame frame;
-    iax2::decode(bytes, frame);
-    const bool late = from == day::officeIdentity(1) && to == day::officeIdentity(0) && frame.is(iax2::Control::answer);
+  town.between([](int from, int to, const iax2::Frame& frame) {
+    const bool late = from == 1 && to == 0 && frame.is(iax2::Control::answer);
     return std::vector<Span>{late ? Span::ms(1985) : Span::ms(5)};
-  };
+  });
   Dialler callers(town);
   callers.dial(0, "210001");
   town.run(9000);
@@ -226,10 +224,7 @@
   town.run(500);
   REQUIRE(callers.phone.count("ANSWER") == 1);
   bool parted = true;
-  town.fate = [&](iax2::Address from, iax2::Address to, std::vector<std::uint8_t>&) {
-    const auto office = [](iax2::Address at) { return at == day::officeIdentity(0) || at == day::officeIdentity(1); };
-    return parted && office(from) && office(to) ? std::vector<Span>() : std::vector<Span>{Span::ms(5)};
-  };
+  town.between([&](int, int, const iax2::Frame&) { return parted ? std::vector<Span>() : std::vector<Span>{Span::ms(5)}; });
   town.run(9000);
   CHECK(callers.phone.count("HANGUP") == 1);
   CHECK(town.account(0, "cut") == 1);
@@ -357,13 +352,11 @@
   town.open();
   Dialler callers(town);
   bool former = true;
-  town.fate = [&](iax2::Address from, iax2::Address to, std::vector<std::uint8_t>& bytes) {
-    iax2::Frame frame;
-    iax2::decode(bytes, frame);
-    const bool sign = from == day::officeIdentity(1) && to == day::officeIdentity(0) && frame.is(iax2::Iax::PONG);
+  town.between([&](int from, int to, const iax2::Frame& frame) {
+    const bool sign = from == 1 && to == 0 && frame.is(iax2::Iax::PONG);
     // Doubled, and the second copy four seconds late.
     return sign && former ? std::vector<Span>{Span::ms(5), Span::ms(4000)} : std::vector<Span>{Span::ms(5)};
-  };
+  });
   town.run(2000);
   former = false;
   town.note("kill e2");
@@ -464,13 +457,11 @@
   Dialler callers(town);
   // The other office answers, dies and is back while this one stands still: both signs of life wait there, and a NEW.
   bool slow = true, asked = false;
-  town.fate = [&](iax2::Address from, iax2::Address to, std::vector<std::uint8_t>& bytes) {
-    iax2::Frame frame;
-    iax2::decode(bytes, frame);
-    const bool sign = from == day::officeIdentity(1) && to == day::officeIdentity(0) && frame.is(iax2::Iax::PONG);
-    asked = asked || (from == day::officeIdentity(0) && to == day::officeIdentity(1) && frame.is(iax2::Iax::POKE));
+  town.between([&](int from, int to, const iax2::Frame& frame) {
+    asked = asked || (from == 0 && to == 1 && frame.is(iax2::Iax::POKE));
+    const bool sign = from == 1 && to == 0 && frame.is(iax2::Iax::PONG);
     return std::vector<Span>{Span::ms(sign && slow ? 400 : 5)};
-  };
+  });
   for (int i = 0; i < 1500 && !asked; ++i) town.run(1);
   REQUIRE(asked);
   town.run(100);
@@ -491,3 +482,28 @@
   CHECK(town.account(0, "reset") == 0);
   CHECK(town.findings().kept());
 }
+
+TEST_CASE("late copies of a peer's last sign of life neither keep it alive nor bring it back") {
+  Town town(smallFleet(2, 10));
+  town.open();
+  Dialler callers(town);
+  bool parted = false;
+  town.between([&](int from, int, const iax2::Frame& frame) {
+    if (parted) return std::vector<Span>();
+    const bool sign = from == 1 && frame.is(iax2::Iax::PONG);
+    return sign ? std::vector<Span>{Span::ms(5), Span::ms(5500), Span::ms(9000)} : std::vector<Span>{Span::ms(5)};
+  });
+  callers.dial(0, "210001");
+  town.run(1500);
+  REQUIRE(callers.phone.count("ANSWER") == 1);
+  parted = true;
+  const auto silent = [&] {
+    return boost::json::parse(town.stage().ask(0, "thistlefold status 1\n").value()).at("exchanges").at(1).at("silent").as_bool();
+  };
+  // Six seconds after the last POKE that was answered, and at most one POKE more.
+  town.run(7200);
+  CHECK(silent());
+  CHECK(town.account(0, "cut") == 1);
+  town.run(2500);
+  CHECK(silent());
+}
--- a/tests/program/town.hpp
+++ b/tests/program/town.hpp
@@ -6,6 +6,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <deque>
 #include <filesystem>
@@ -194,6 +195,16 @@
   const std::string& path() const { return path_; }
 
   net::Fate fate;
+  /// Fate of frames between offices, by place; all else takes five milliseconds.
+  void between(std::function<std::vector<Span>(int from, int to, const iax2::Frame& frame)> what) {
+    fate = [this, what = std::move(what)](iax2::Address from, iax2::Address to, std::vector<std::uint8_t>& bytes) {
+      const std::vector<iax2::Address> all = offices();
+      const auto a = std::find(all.begin(), all.end(), from), b = std::find(all.begin(), all.end(), to);
+      iax2::Frame frame;
+      if (a == all.end() || b == all.end() || iax2::decode(bytes, frame) != iax2::Reading::full) return std::vector<Span>{Span::ms(5)};
+      return what(static_cast<int>(a - all.begin()), static_cast<int>(b - all.begin()), frame);
+    };
+  }
 
  private:
   std::vector<iax2::Address> offices() const {
