Adapter: one place knows what is told of an INVITE before the last

Need: reading again. The index was compared in two places, and a stale ACCEPTED was passed over without a word though every odd event is to be taken or told. Change: ofLastInvite() for both.

--- a/include/thistlefold/session.hpp
+++ b/include/thistlefold/session.hpp
@@ -23,7 +23,7 @@
   Instant dialled;  // when the first try for it came
   Instant due;      // when it is to be looked at next
   double lot = 0;   // drawn once, from 0 to below 1
-  bool taken = false;
+  bool taken = false;  // told of; a second telling changes nothing
   bool over = false;
   bool standing = false;
   bool mayHaveRun = false;
--- a/src/drill/drill.cpp
+++ b/src/drill/drill.cpp
@@ -256,11 +256,7 @@
       if (event.name == "INCOMING") {
         incoming(fields);
       } else if (event.name == "ACCEPTED") {
-        Session* session = held(fields);
-        // Of the INVITE that is out, not of one before it.
-        if (session != nullptr && integer(fields, "Trial", session->invites - 1) == session->invites - 1) {
-          controller_->accepted(*session, span(fields, "Lag"));
-        }
+        if (Session* session = ofLastInvite(fields)) controller_->accepted(*session, span(fields, "Lag"));
       } else if (event.name == "ENDED") {
         ended(fields);
       } else if (event.name == "ABANDONED") {
@@ -284,6 +280,15 @@
     return nullptr;
   }
 
+  // What is told of an INVITE before the last one must not answer or end the one that followed, maybe to the same
+  // exchange.
+  Session* ofLastInvite(const Value& fields) {
+    Session* session = held(fields);
+    if (session == nullptr || integer(fields, "Trial", session->invites - 1) == session->invites - 1) return session;
+    std::cerr << "thistlefold_drill: not of its last INVITE: " << name(fields, "Ticket") << '\n';
+    return nullptr;
+  }
+
   // Circuits may be told of an exchange before the directory names it; until then it counts as gone.
   ListedExchange& exchange(std::uint32_t id) {
     auto& exchange = exchanges_[id];
@@ -330,11 +335,10 @@
 
   void ended(const Value& fields) {
     const auto listed = exchanges_.find(exchangeId(fields));
-    Session* session = held(fields);
+    Session* session = ofLastInvite(fields);
     if (session == nullptr) return;
-    // An outcome told again must not end the INVITE that followed, maybe to the same exchange.
-    if (listed == exchanges_.end() || integer(fields, "Trial", session->invites - 1) != session->invites - 1) {
-      std::cerr << "thistlefold_drill: no such INVITE out: " << name(fields, "Ticket") << '\n';
+    if (listed == exchanges_.end()) {
+      std::cerr << "thistlefold_drill: no such exchange: " << exchangeId(fields) << '\n';
       return;
     }
     ListedExchange& at = *listed->second;
--- a/tests/program/histories.cpp
+++ b/tests/program/histories.cpp
@@ -242,7 +242,7 @@
 
 TEST_CASE("seeded histories of the whole program keep the rules, and peace leaves nothing behind") {
   std::uint64_t tries = 0, stood = 0, invites = 0;
-  for (std::uint32_t seed = 1; seed <= 12; ++seed) {
+  for (std::uint32_t seed = 1; seed <= 16; ++seed) {
     const Outcome outcome = Unrest(seed, "seeded").play(15000);
     CAPTURE(seed);
     CAPTURE(audit::describe(outcome.findings));
@@ -253,7 +253,7 @@
     invites += outcome.findings.invites;
   }
   CHECK(tries > 1000);
-  CHECK(stood > 200);
+  CHECK(stood > 300);
   CHECK(invites > 500);
 }
 
--- a/tests/runner.cpp
+++ b/tests/runner.cpp
@@ -364,28 +364,22 @@
 
 TEST_CASE("what callers dial fills no table without end") {
   constexpr int kMost = 4096;
+  const auto each = [](Scenario& scenario, auto line) {
+    for (int i = 0; i <= kMost; ++i) scenario.line(line(std::to_string(i)));
+  };
   Scenario refusals;
   refusals.line("office; exchange B 0 20");
   refusals.line("at 1000");
-  for (int i = 0; i <= kMost; ++i) {
-    const std::string name = "s" + std::to_string(i);
-    refusals.line("session " + name + " call B 3000 number " + std::to_string(i) + "; => busy " + name + " 900");
-  }
+  each(refusals, [](const std::string& n) { return "session s" + n + " call B 3000 number " + n + "; => busy s" + n + " 900"; });
   // The oldest is forgotten and its redial a first try; the newest is owed what is left of its target.
   refusals.line("at 1100; session x call B 3000 number 0; session y call B 3000 number 4096; => busy x 900; => busy y 840");
   refusals.finish();
   Scenario numbers;
   numbers.line("office; exchange B 9000 9000");
   numbers.line("at 1000");
-  for (int i = 0; i <= kMost; ++i) {
-    const std::string name = "s" + std::to_string(i);
-    numbers.line("session " + name + " call B 3000 number " + std::to_string(i) + "; => invite " + name + " B 1500");
-  }
+  each(numbers, [](const std::string& n) { return "session s" + n + " call B 3000 number " + n + "; => invite s" + n + " B 1500"; });
   numbers.line("at 1010");
-  for (int i = 0; i <= kMost; ++i) {
-    const std::string name = "s" + std::to_string(i);
-    numbers.line("ended " + name + " B line-busy; => busy " + name + " 2000");
-  }
+  each(numbers, [](const std::string& n) { return "ended s" + n + " B line-busy; => busy s" + n + " 2000"; });
   // All that are noted are held back; the one past the bound is tried. The oldest refusal is forgotten here too.
   numbers.line("at 1020; session x call B 3000 number 0; session y call B 3000 number 4096; => busy x 900; => invite y B 1480");
   numbers.finish();
