Output that meets a full disk ends a command with status 2

Lines at fault: main() in src/command/main.cpp never looked at standard output. Change: one check for all commands. Test: commands.sh (status 0 before, 2 and one line after).

--- a/src/command/main.cpp
+++ b/src/command/main.cpp
@@ -25,5 +25,10 @@
     std::cerr << "thistlefold: " << failure.what() << '\n';
     return 2;
   }
+  // What was asked for may have met a full disk, also when it went through a pipe or a redirection.
+  if (!std::cout.flush()) {
+    std::cerr << "thistlefold: standard output: not written whole (no room?)\n";
+    return 2;
+  }
   return status;
 }
--- a/tests/commands.sh
+++ b/tests/commands.sh
@@ -35,6 +35,8 @@
 check "... is named by line and column" says "bad.sexp:1:23: unknown word 'wdith'; the nearest known is 'width'"
 check "a missing file" status 1 "$program" check "$folder/none.sexp"
 check "no command" status 2 "$program"
+check "output to a full disk" status 2 sh -c "'$program' check days/bad-day.sexp >/dev/full"
+check "... is told" says "standard output: not written whole"
 check "an unknown option" status 2 "$program" day --nope
 check "an office file that is none" status 1 "$program" serve "$folder/bad.sexp"
 check "audit without a fleet" status 1 "$program" audit "$folder/none" days/none
