Into service: the platform's protocol as one more road for traffic

Need: the operators' machines speak only the platform's protocol over TCP.

Change: src/wire (settings object, exchange ids and places; shared with the adapter), src/platform (message lines, bulletin, the softswitch between messages and module; pure, clock passed in), TCP streams in src/net, thistlefold node. Every decision comes from the module that the simulator drives.

--- a/src/command/main.cpp
+++ b/src/command/main.cpp
@@ -9,6 +9,7 @@
   int status = 0;
   using namespace thistlefold::command;
   addServe(app, status);
+  addNode(app, status);
   addStatus(app, status);
   addCheck(app, status);
   addDay(app, status);
--- /dev/null
+++ b/src/command/node.cpp
@@ -0,0 +1,111 @@
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+
+#include "command/commands.hpp"
+#include "net/real.hpp"
+#include "net/streams.hpp"
+#include "platform/softswitch.hpp"
+
+namespace thistlefold::command {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr Span kAccountEvery = Span::ms(5000);
+// Beside connections: standard streams, the listener, the poller, timers and signals.
+constexpr int kOtherDescriptors = 16;
+
+platform::Deployment openDeployment(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  const std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+  if (!file.good() && text.empty()) throw std::runtime_error(path + ": can't be read");
+  try {
+    return platform::readDeployment(text);
+  } catch (const wire::WireFault& fault) {
+    throw std::runtime_error(path + ": " + fault.what());
+  }
+}
+
+int node(const std::string& path) {
+  auto log = std::make_shared<spdlog::logger>("node", std::make_shared<spdlog::sinks::stderr_sink_st>());
+  log->set_pattern("time=%Y-%m-%dT%H:%M:%S.%e%z level=%l %v");
+  const platform::Deployment deployment = openDeployment(path);
+
+  asio::io_context context(1);
+  const auto clock = net::realClock(context.get_executor());
+  net::Streams streams(context.get_executor(), *clock, static_cast<std::size_t>(deployment.descriptors - kOtherDescriptors));
+  platform::Softswitch softswitch(deployment, clock->now(), streams, openOffice,
+                                  [&](std::string_view what) { log->info("{}", what); });
+  std::string failed;
+  log->info("office={} listening {}", deployment.name, text(streams.listen(deployment.listen)));
+  streams.attend(softswitch, [&](const char* what) {
+    failed = what;
+    context.stop();
+  });
+
+  asio::signal_set ends(context, SIGTERM, SIGINT), reread(context, SIGHUP);
+  const auto untilStopped = [&]() -> asio::awaitable<void> {
+    const auto alarm = clock->alarm();
+    while (!softswitch.stopped(clock->now())) {
+      alarm->set(clock->now() + Span::ms(10));
+      co_await alarm->rung();
+    }
+    context.stop();
+  };
+  ends.async_wait([&](const boost::system::error_code& error, int) {
+    if (error) return;
+    log->info("stopping {}", softswitch.account(clock->now()));
+    softswitch.stop(clock->now());
+    asio::co_spawn(context, untilStopped(), asio::detached);
+  });
+  std::function<void()> onHup = [&] {
+    reread.async_wait([&](const boost::system::error_code& error, int) {
+      if (error) return;
+      try {
+        softswitch.reconfigured(clock->now(), openDeployment(path));
+        log->info("configuration read anew");
+      } catch (const std::exception& failure) {
+        log->error("{}; it stays as it was", failure.what());
+      }
+      streams.nudge();
+      onHup();
+    });
+  };
+  onHup();
+  const auto accounting = [&]() -> asio::awaitable<void> {
+    const auto alarm = clock->alarm();
+    for (;;) {
+      alarm->set(clock->now() + kAccountEvery);
+      co_await alarm->rung();
+      log->info("{}", softswitch.account(clock->now()));
+    }
+  };
+  asio::co_spawn(context, accounting(), asio::detached);
+  context.run();
+  log->info("stopped {}", softswitch.account(clock->now()));
+  if (!failed.empty()) throw std::runtime_error("ended by a fault: " + failed);
+  return 0;
+}
+
+}  // namespace
+
+void addNode(CLI::App& app, int& status) {
+  auto* command = app.add_subcommand("node", "Run one softswitch on the platform's protocol, by TCP");
+  auto path = std::make_shared<std::string>();
+  command->add_option("FILE", *path, "the configuration")->envname("PROXY_CONFIG")->required();
+  command->footer(
+      "SIGTERM: what is open is finished, then it ends. SIGHUP: the configuration is read anew; the bulletin's address\n"
+      "and what is known of it are taken, all else stays.");
+  command->callback([=, &status] { status = node(*path); });
+}
+
+}  // namespace thistlefold::command
--- a/src/drill/drill.cpp
+++ b/src/drill/drill.cpp
@@ -17,137 +17,17 @@
 #include <vector>
 
 #include "thistlefold/controller.hpp"
+#include "wire/fields.hpp"
+#include "wire/roster.hpp"
+#include "wire/start.hpp"
 
 namespace thistlefold::drill {
 namespace {
 
+using namespace wire;
 using rapidjson::Value;
 using Json = rapidjson::Writer<rapidjson::StringBuffer>;
 
-std::string_view text(const Value& value) { return {value.GetString(), value.GetStringLength()}; }
-
-[[noreturn]] void wrong(const char* field, const char* wanted) {
-  throw WireFault(std::string("field ") + field + ": " + wanted);
-}
-
-const Value* find(const Value& fields, const char* name) {
-  const auto it = fields.FindMember(name);
-  return it == fields.MemberEnd() || it->value.IsNull() ? nullptr : &it->value;
-}
-
-const Value& need(const Value& fields, const char* name) {
-  const Value* value = find(fields, name);
-  if (value == nullptr) wrong(name, "missing");
-  return *value;
-}
-
-double asNumber(const Value& value, const char* name) {
-  if (!value.IsNumber() || !std::isfinite(value.GetDouble())) wrong(name, "a number is wanted");
-  return value.GetDouble();
-}
-
-double number(const Value& fields, const char* name) { return asNumber(need(fields, name), name); }
-
-double number(const Value& fields, const char* name, double absent) {
-  const Value* value = find(fields, name);
-  return value == nullptr ? absent : asNumber(*value, name);
-}
-
-int integer(const Value& fields, const char* name, std::optional<int> absent = std::nullopt) {
-  const Value* value = find(fields, name);
-  if (value == nullptr && absent) return *absent;
-  const double read = value == nullptr ? number(fields, name) : asNumber(*value, name);
-  if (std::abs(read) > 2e9 || read != std::floor(read)) wrong(name, "a whole number is wanted");
-  return static_cast<int>(read);
-}
-
-bool mark(const Value& fields, const char* name) {
-  const Value* value = find(fields, name);
-  if (value == nullptr) return false;
-  if (!value->IsBool()) wrong(name, "true or false is wanted");
-  return value->GetBool();
-}
-
-std::string_view name(const Value& fields, const char* field) {
-  const Value& value = need(fields, field);
-  if (!value.IsString()) wrong(field, "text is wanted");
-  return text(value);
-}
-
-std::string_view name(const Value& fields, const char* field, std::string_view absent) {
-  return find(fields, field) == nullptr ? absent : name(fields, field);
-}
-
-const Value& object(const Value& fields, const char* field) {
-  static const Value empty(rapidjson::kObjectType);
-  const Value* value = find(fields, field);
-  if (value == nullptr) return empty;
-  if (!value->IsObject()) wrong(field, "an object is wanted");
-  return *value;
-}
-
-const Value& array(const Value& fields, const char* field) {
-  static const Value empty(rapidjson::kArrayType);
-  const Value* value = find(fields, field);
-  if (value == nullptr) return empty;
-  if (!value->IsArray()) wrong(field, "an array is wanted");
-  return *value;
-}
-
-double element(const Value& list, rapidjson::SizeType index, const char* field, double absent) {
-  return index < list.Size() ? asNumber(list[index], field) : absent;
-}
-
-std::uint32_t exchangeId(const Value& fields) {
-  const Value& value = need(fields, "Exchange");
-  if (!value.IsUint()) wrong("Exchange", "a number below 2^32 is wanted");
-  return value.GetUint();
-}
-
-OfficeData decode(const Value& conf) {
-  OfficeData data;
-  const Value& caps = object(conf, "Caps");
-  const Value& family = object(conf, "FamilyInfo");
-  const Value& obligations = object(conf, "Obligations");
-  const Value& skills = array(family, "ClassCells");
-  const Value& holds = array(family, "MeanHold");
-  const Value& grades = array(conf, "Grades");
-  for (rapidjson::SizeType i = 0; i < grades.Size(); ++i) {
-    if (!grades[i].IsObject()) wrong("Grades", "objects are wanted");
-    Service service;
-    service.value = number(grades[i], "Credit", 1);
-    service.lateValue = number(grades[i], "LateValue", 0);
-    service.postDialTarget = Span::ms(number(grades[i], "Aim"));
-    service.timerLimit = Span::ms(number(grades[i], "GiveUp"));
-    service.meanHold = Span::ms(element(holds, i, "MeanHold", 0));
-    service.repeatable = name(grades[i], "Semantics", "read_like") == "read_like";
-    if (i < skills.Size() && !skills[i].IsNull()) {
-      if (!skills[i].IsArray()) wrong("ClassCells", "arrays are wanted");
-      for (rapidjson::SizeType k = 0; k < skills[i].Size(); ++k) {
-        service.pools.push_back(static_cast<int>(element(skills[i], k, "ClassCells", -1)));
-      }
-    }
-    data.services.push_back(service);
-  }
-  data.pools = name(family, "Topology", "mesh") == "pools";
-  data.maxInvites = integer(caps, "MaxAttempts", 1);
-  data.mustSubscribe = name(conf, "Discovery", "pushed") == "on_request";
-  data.askWithin = Span::ms(number(obligations, "AskWithin", 0));
-  data.takesRetryAfter = mark(caps, "RetryAfter");
-  data.longestRetryAfter = Span::ms(number(caps, "MaxRetryAfter", 0));
-  data.clearWait = Span::ms(number(family, "ClearWait", 0));
-  data.repeatAfter = Span::ms(number(family, "T1", 0));
-  data.coldFrom = number(obligations, "ColdFrom", 0);
-  data.warmAfter = Span::ms(number(obligations, "WarmAfter", 0));
-  data.fallMultiple = number(obligations, "FallMultiple", 0);
-  data.tipAfter = Span::ms(number(obligations, "TipAfter", 0));
-  return data;
-}
-
-struct ListedExchange : Exchange {
-  std::uint32_t id = 0;
-};
-
 struct TicketedSession : Session {
   std::string ticket;
 };
@@ -234,8 +114,7 @@
 class Office final : public Arrivals {
  public:
   explicit Office(const Value& start)
-      : data_(decode(object(start, "Conf"))),
-        here_(integer(object(object(start, "Conf"), "FamilyInfo"), "ThisNode", -1)) {
+      : data_(readStart(object(start, "Conf"))), roster_(data_.pools ? -1 : placeHere(object(start, "Conf"))) {
     const Value& seed = need(start, "InitSeed");
     if (!seed.IsUint64() && !seed.IsInt64()) wrong("InitSeed", "a whole number is wanted");
     const std::uint64_t from =
@@ -263,7 +142,7 @@
         const auto it = sessions_.find(std::string(name(fields, "Ticket")));
         if (it != sessions_.end()) controller_->abandoned(*it->second);
       } else if (event.name == "ECHO") {
-        feedback(exchange(exchangeId(fields)), object(fields, "Feedback"));
+        feedback(roster_.exchange(exchangeId(fields)), object(fields, "Feedback"));
       } else if (event.name == "MEMBERS") {
         members(fields, event.list.get());
       }  // TICK_DUE: the round itself is what was asked for. MESSAGE: offices tell each other nothing.
@@ -289,21 +168,6 @@
     return nullptr;
   }
 
-  // Circuits may be told of an exchange before the directory names it; until then it counts as gone.
-  ListedExchange& exchange(std::uint32_t id) {
-    auto& exchange = exchanges_[id];
-    if (exchange == nullptr) {
-      exchange = std::make_unique<ListedExchange>();
-      exchange->id = id;
-    }
-    return *exchange;
-  }
-
-  Exchange* at(double place) const {
-    const auto it = places_.find(static_cast<int>(place));
-    return it == places_.end() ? nullptr : it->second;
-  }
-
   void feedback(Exchange& exchange, const Value& values) {
     const double size = number(values, "size", -1);
     if (size >= 0) controller_->circuits(exchange, number(values, "free", 0), size);
@@ -320,7 +184,7 @@
     }
     session->service = &data_.services[static_cast<std::size_t>(category)];
     session->width = number(fields, "Width", 1);
-    session->destination = at(number(fields, "FarEnd", -1));
+    session->destination = roster_.at(number(fields, "FarEnd", -1));
     const int bits = integer(fields, "Bits", 0);
     session->transit = (bits & 8) != 0;
     session->wasCut = (bits & 16) != 0;
@@ -334,19 +198,18 @@
   }
 
   void ended(const Value& fields) {
-    const auto listed = exchanges_.find(exchangeId(fields));
+    ListedExchange* at = roster_.known(exchangeId(fields));
     Session* session = ofLastInvite(fields);
     if (session == nullptr) return;
-    if (listed == exchanges_.end()) {
+    if (at == nullptr) {
       std::cerr << "thistlefold_drill: no such exchange: " << exchangeId(fields) << '\n';
       return;
     }
-    ListedExchange& at = *listed->second;
-    feedback(at, object(fields, "Feedback"));
+    feedback(*at, object(fields, "Feedback"));
     const int note = integer(fields, "Note", 0);
     const int reason = note & 15;
     const int beyond = note >> 4;
-    controller_->ended(*session, at, ending(integer(fields, "Ending", 0)),
+    controller_->ended(*session, *at, ending(integer(fields, "Ending", 0)),
                        reason <= 4 ? static_cast<Reason>(reason) : Reason::none, reason == 2 && beyond == 1,
                        reason == 3 ? Span::ms(beyond) : Span::none(), mark(fields, "Final"));
   }
@@ -382,36 +245,24 @@
       return;
     }
     if (list == nullptr) wrong("Bank", "no such list");
-    std::vector<std::uint32_t> named;
+    std::vector<Listing> lines;
     for (const Value& entry : list->GetArray()) {
-      const std::uint32_t id = exchangeId(entry);
-      named.push_back(id);
-      ListedExchange& listed = exchange(id);
-      listed.place = integer(entry, "PlaceNo", listed.place);
-      listed.own = !data_.pools && listed.place == here_ && here_ >= 0;
+      Listing line;
+      line.id = exchangeId(entry);
+      line.placed = find(entry, "PlaceNo") != nullptr;
+      line.place = integer(entry, "PlaceNo", -1);
       const int readiness = integer(entry, "Readiness");
       if (readiness != 2 && readiness != 0 && readiness != 3) wrong("Readiness", "no such state");
-      Exchange*& holder = places_[listed.place];
-      if (holder == nullptr || readiness == 2) holder = &listed;
+      line.readiness = readiness == 2 ? Readiness::ready : readiness == 0 ? Readiness::draining : Readiness::gone;
       const double started = number(entry, "LastStart", 0);
-      controller_->listed(listed,
-                          readiness == 2   ? Readiness::ready
-                          : readiness == 0 ? Readiness::draining
-                                           : Readiness::gone,
-                          started > 0 ? Instant::ms(started) : Instant::longAgo());
-    }
-    if (mode == 0) return;
-    for (auto& [id, known] : exchanges_) {
-      if (std::find(named.begin(), named.end(), id) == named.end()) {
-        controller_->listed(*known, Readiness::gone, known->started);
-      }
+      if (started > 0) line.started = Instant::ms(started);
+      lines.push_back(line);
     }
+    roster_.list(*controller_, lines, mode != 0);
   }
 
   OfficeData data_;
-  int here_;
-  std::map<std::uint32_t, std::unique_ptr<ListedExchange>> exchanges_;
-  std::map<int, Exchange*> places_;
+  Roster roster_;
   std::unordered_map<std::string, std::unique_ptr<TicketedSession>> sessions_;
   const std::vector<Event>* events_ = nullptr;  // of the batch that is being answered
   std::unique_ptr<Controller> controller_;
--- a/src/drill/drill.hpp
+++ b/src/drill/drill.hpp
@@ -1,15 +1,13 @@
 #pragma once
 
 #include <memory>
-#include <stdexcept>
 #include <string>
 
+#include "wire/fields.hpp"
+
 namespace thistlefold::drill {
 
-/// A line that can't be read as the wire says; the text names the field or the offset.
-struct WireFault : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
+using wire::WireFault;
 
 /// Hosts many offices behind the simulator's wire: one line in, one line out.
 class Drill {
--- /dev/null
+++ b/src/net/streams.cpp
@@ -0,0 +1,291 @@
+#include "net/streams.hpp"
+
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
+#include <set>
+
+namespace thistlefold::net {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using Error = boost::system::error_code;
+
+// Read at once from one connection before others get their turn.
+constexpr std::size_t kReadAtOnce = 16 * 1024;
+// How long what was sent last may take to go out and be taken once a stream is ended, and what is read and thrown
+// away meanwhile, so that the system does not answer it with a reset that overtakes the last words.
+constexpr auto kLinger = std::chrono::milliseconds(500);
+constexpr std::size_t kThrowAway = 256 * 1024;
+
+tcp::endpoint endpoint(iax2::Address at) { return {asio::ip::address_v4(at.ip), at.port}; }
+
+}  // namespace
+
+struct Streams::State {
+  State(asio::any_io_executor by, Clock& time, std::size_t bound)
+      : executor(std::move(by)), clock(&time), alarm(time.alarm()), acceptor(executor), room(executor), most(bound) {}
+
+  void guarded(const std::function<void()>& call) {
+    if (over) return;
+    try {
+      call();
+    } catch (const std::exception& failure) {
+      over = true;
+      fault(failure.what());
+    }
+  }
+  void turn() {
+    guarded([this] {
+      party->turn(clock->now());
+      alarm->set(party->nextTurn());
+    });
+  }
+
+  asio::any_io_executor executor;
+  Clock* clock;
+  std::unique_ptr<Alarm> alarm;
+  tcp::acceptor acceptor;
+  asio::steady_timer room;  // rung when a connection was closed
+  std::size_t most;
+  Party* party = nullptr;
+  std::function<void(const char*)> fault;
+  std::set<std::shared_ptr<TcpStream>> streams;
+  std::array<char, kReadAtOnce> buffer{};
+  bool over = false;
+};
+
+class TcpStream final : public Stream, public std::enable_shared_from_this<TcpStream> {
+ public:
+  TcpStream(std::shared_ptr<Streams::State> of, tcp::socket socket) : of_(std::move(of)), socket_(std::move(socket)) {}
+
+  void send(std::string_view bytes) override {
+    if (ended_ || !socket_.is_open()) return;
+    if (!stands_ || !waiting_.empty()) {
+      waiting_.append(bytes);
+      return;
+    }
+    Error error;
+    const std::size_t sent = socket_.write_some(asio::buffer(bytes), error);
+    // A broken connection is told of by the reading side.
+    if (error && error != asio::error::would_block) return;
+    if (sent == bytes.size()) return;
+    waiting_.append(bytes.substr(sent));
+    asio::co_spawn(of_->executor, writing(shared_from_this()), asio::detached);
+  }
+  std::size_t unsent() const override { return waiting_.size(); }
+  void end() override {
+    if (ended_) return;
+    ended_ = true;
+    if (!stands_ || !socket_.is_open()) return close();
+    asio::co_spawn(of_->executor, lingering(shared_from_this()), asio::detached);
+  }
+  void cut() override {
+    ended_ = true;
+    close();
+  }
+
+  static asio::awaitable<void> dialling(std::shared_ptr<TcpStream> self, std::shared_ptr<Streams::State> of,
+                                        tcp::endpoint to) {
+    Error error;
+    co_await self->socket_.async_connect(to, asio::redirect_error(asio::use_awaitable, error));
+    if (self->ended_ || of->over) co_return;
+    if (error) {
+      self->tellDown(error);
+      co_return;
+    }
+    self->start();
+    of->guarded([&] { of->party->up(of->clock->now(), *self); });
+    of->turn();
+    if (!self->waiting_.empty() && !self->ended_) {
+      asio::co_spawn(of->executor, writing(self), asio::detached);
+    }
+    co_await reading(self, of);
+  }
+
+  static asio::awaitable<void> reading(std::shared_ptr<TcpStream> self, std::shared_ptr<Streams::State> of) {
+    while (!self->ended_ && !of->over) {
+      Error error;
+      co_await self->socket_.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
+      if (self->ended_ || of->over) co_return;
+      std::size_t got = 0;
+      if (!error) got = self->socket_.read_some(asio::buffer(of->buffer), error);
+      if (error == asio::error::would_block) continue;
+      if (error) {
+        self->tellDown(error);
+        co_return;
+      }
+      of->guarded([&] { of->party->read(of->clock->now(), *self, {of->buffer.data(), got}); });
+      of->turn();
+    }
+  }
+
+  void start() {
+    stands_ = true;
+    Error ignored;
+    socket_.non_blocking(true, ignored);
+    socket_.set_option(tcp::no_delay(true), ignored);
+  }
+
+ private:
+  static asio::awaitable<void> writing(std::shared_ptr<TcpStream> self) {
+    while (!self->waiting_.empty() && self->socket_.is_open()) {
+      Error error;
+      co_await self->socket_.async_wait(tcp::socket::wait_write, asio::redirect_error(asio::use_awaitable, error));
+      if (error || !self->socket_.is_open()) co_return;
+      const std::size_t sent = self->socket_.write_some(asio::buffer(self->waiting_), error);
+      if (error && error != asio::error::would_block) co_return;
+      self->waiting_.erase(0, sent);
+    }
+  }
+
+  static asio::awaitable<void> lingering(std::shared_ptr<TcpStream> self) {
+    asio::steady_timer timer(self->of_->executor, kLinger);
+    timer.async_wait([self](const Error& error) {
+      if (!error) self->close();
+    });
+    Error error;
+    while (!self->waiting_.empty() && self->socket_.is_open()) {
+      co_await self->socket_.async_wait(tcp::socket::wait_write, asio::redirect_error(asio::use_awaitable, error));
+      if (error || !self->socket_.is_open()) break;
+      const std::size_t sent = self->socket_.write_some(asio::buffer(self->waiting_), error);
+      if (error && error != asio::error::would_block) break;
+      self->waiting_.erase(0, sent);
+    }
+    self->socket_.shutdown(tcp::socket::shutdown_send, error);
+    std::size_t thrown = 0;
+    while (self->socket_.is_open() && thrown < kThrowAway) {
+      co_await self->socket_.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
+      if (error || !self->socket_.is_open()) break;
+      const std::size_t got = self->socket_.read_some(asio::buffer(self->of_->buffer), error);
+      if (error && error != asio::error::would_block) break;
+      thrown += got;
+    }
+    timer.cancel();
+    self->close();
+  }
+
+  void tellDown(const Error& error) {
+    if (ended_) return;
+    ended_ = true;
+    const StreamEnd how = !stands_                      ? StreamEnd::refused
+                          : error == asio::error::eof ? StreamEnd::closed
+                                                      : StreamEnd::reset;
+    const auto keep = shared_from_this();
+    of_->guarded([&] { of_->party->down(of_->clock->now(), *this, how); });
+    close();
+    of_->turn();
+  }
+
+  void close() {
+    Error ignored;
+    if (socket_.is_open()) socket_.close(ignored);
+    const auto keep = shared_from_this();
+    of_->streams.erase(keep);
+    of_->room.cancel();
+  }
+
+  std::shared_ptr<Streams::State> of_;
+  tcp::socket socket_;
+  std::string waiting_;
+  bool stands_ = false;
+  bool ended_ = false;
+};
+
+namespace {
+
+template <typename State>
+asio::awaitable<void> accepting(std::shared_ptr<State> at) {
+  while (!at->over && at->acceptor.is_open()) {
+    Error error;
+    if (at->streams.size() >= at->most) {
+      at->room.expires_after(std::chrono::milliseconds(50));
+      co_await at->room.async_wait(asio::redirect_error(asio::use_awaitable, error));
+      continue;
+    }
+    tcp::socket socket = co_await at->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+    if (at->over || !at->acceptor.is_open()) break;
+    if (error) {
+      // No descriptor left, or the caller is gone again: nothing to do but wait.
+      at->room.expires_after(std::chrono::milliseconds(10));
+      co_await at->room.async_wait(asio::redirect_error(asio::use_awaitable, error));
+      continue;
+    }
+    const auto stream = std::make_shared<TcpStream>(at, std::move(socket));
+    at->streams.insert(stream);
+    stream->start();
+    at->guarded([&] { at->party->came(at->clock->now(), *stream); });
+    asio::co_spawn(at->executor, TcpStream::reading(stream, at), asio::detached);
+  }
+}
+
+template <typename State>
+asio::awaitable<void> ticking(std::shared_ptr<State> at) {
+  while (!at->over) {
+    co_await at->alarm->rung();
+    if (at->over) break;
+    at->turn();
+  }
+}
+
+}  // namespace
+
+Streams::Streams(asio::any_io_executor executor, Clock& clock, std::size_t most)
+    : state_(std::make_shared<State>(std::move(executor), clock, most)) {}
+
+Streams::~Streams() {
+  state_->over = true;
+  state_->alarm->close();
+  Error ignored;
+  state_->acceptor.close(ignored);
+  const auto streams = std::move(state_->streams);
+  state_->streams.clear();
+  for (const auto& stream : streams) stream->cut();
+}
+
+iax2::Address Streams::listen(iax2::Address at) {
+  try {
+    auto& acceptor = state_->acceptor;
+    acceptor.open(tcp::v4());
+    acceptor.set_option(tcp::acceptor::reuse_address(true));
+    acceptor.bind(endpoint(at));
+    acceptor.listen();
+    const auto local = acceptor.local_endpoint();
+    return {local.address().to_v4().to_uint(), local.port()};
+  } catch (const boost::system::system_error& error) {
+    throw std::runtime_error(iax2::text(at) + ": can't listen there: " + error.code().message());
+  }
+}
+
+void Streams::attend(Party& party, std::function<void(const char*)> fault) {
+  state_->party = &party;
+  state_->fault = std::move(fault);
+  state_->alarm->set(state_->clock->now());
+  asio::co_spawn(state_->executor, ticking(state_), asio::detached);
+  if (state_->acceptor.is_open()) asio::co_spawn(state_->executor, accepting(state_), asio::detached);
+}
+
+void Streams::nudge() { state_->alarm->set(state_->clock->now()); }
+
+Stream* Streams::dial(iax2::Address to) {
+  if (state_->over || state_->streams.size() >= state_->most) return nullptr;
+  tcp::socket socket(state_->executor);
+  Error error;
+  socket.open(tcp::v4(), error);
+  if (error) return nullptr;
+  const auto stream = std::make_shared<TcpStream>(state_, std::move(socket));
+  state_->streams.insert(stream);
+  asio::co_spawn(state_->executor, TcpStream::dialling(stream, state_, endpoint(to)), asio::detached);
+  return stream.get();
+}
+
+std::size_t Streams::held() const { return state_->streams.size(); }
+
+}  // namespace thistlefold::net
--- /dev/null
+++ b/src/net/streams.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+// The seam for streams, on TCP by Boost.Asio coroutines: one party with its listener and the connections it dials.
+
+#include <boost/asio/any_io_executor.hpp>
+#include <functional>
+#include <memory>
+
+#include "net/clock.hpp"
+#include "party.hpp"
+
+namespace thistlefold::net {
+
+class TcpStream;
+
+class Streams final : public Dialler {
+ public:
+  /// `clock` must outlive it. `most`: connections held at once; at the bound those that come wait in the system's
+  /// queue and nothing is dialled.
+  Streams(boost::asio::any_io_executor executor, Clock& clock, std::size_t most);
+  ~Streams() override;
+
+  /// Port 0 takes a free one. Throws std::runtime_error that names the address if it can't be bound.
+  iax2::Address listen(iax2::Address at);
+  /// From now on the party is told. `fault` hears of an exception that came out of it.
+  void attend(Party& party, std::function<void(const char*)> fault);
+  /// After something was changed in the party from outside a turn: it gets one now.
+  void nudge();
+
+  Stream* dial(iax2::Address to) override;
+  std::size_t held() const;
+
+ private:
+  friend class TcpStream;
+  struct State;
+  std::shared_ptr<State> state_;  // kept by the coroutines until they have ended
+};
+
+}  // namespace thistlefold::net
--- /dev/null
+++ b/src/platform/bulletin.cpp
@@ -0,0 +1,105 @@
+#include "platform/bulletin.hpp"
+
+#include "platform/message.hpp"
+
+namespace thistlefold::platform {
+namespace {
+
+constexpr std::size_t kHead = 4 + 8 + 1;
+constexpr std::size_t kRecord = 27;
+// Some thousand exchanges; a length above it is no length.
+constexpr std::size_t kLongestFrame = 64 * 1024;
+
+std::uint64_t number(std::string_view bytes) {
+  std::uint64_t value = 0;
+  for (const char byte : bytes) value = value << 8 | static_cast<std::uint8_t>(byte);
+  return value;
+}
+
+Instant started(double unixMs) { return unixMs > 0 ? Instant::ms(unixMs) : Instant::longAgo(); }
+
+}  // namespace
+
+std::string askAfter(std::uint64_t number) {
+  std::string bytes(8, '\0');
+  for (std::size_t i = 0; i < 8; ++i) bytes[7 - i] = static_cast<char>(number >> (8 * i));
+  return bytes;
+}
+
+bool Frames::add(std::string_view bytes) {
+  waiting_.append(bytes);
+  return readable_;
+}
+
+std::optional<BulletinEvent> Frames::next() {
+  if (!readable_ || waiting_.size() < 4) return std::nullopt;
+  const std::string_view all(waiting_);
+  const std::uint64_t length = number(all.substr(0, 4));
+  if (length < kHead - 4 || length > kLongestFrame) {
+    readable_ = false;
+    return std::nullopt;
+  }
+  if (all.size() < 4 + length) return std::nullopt;
+  BulletinEvent event;
+  event.number = number(all.substr(4, 8));
+  const auto kind = number(all.substr(12, 1));
+  const std::string_view payload = all.substr(kHead, 4 + length - kHead);
+  if (kind > 2 || payload.size() % kRecord != 0 || (kind == 0 && !payload.empty())) {
+    readable_ = false;
+    return std::nullopt;
+  }
+  event.whole = kind == 1;
+  for (std::size_t at = 0; at < payload.size(); at += kRecord) {
+    const std::string_view record = payload.substr(at, kRecord);
+    Place place;
+    place.listing.id = static_cast<std::uint32_t>(number(record.substr(0, 4)));
+    place.address = {static_cast<std::uint32_t>(number(record.substr(4, 4))),
+                     static_cast<std::uint16_t>(number(record.substr(8, 2)))};
+    const auto state = number(record.substr(10, 1));
+    if (state > 2) {
+      readable_ = false;
+      return std::nullopt;
+    }
+    place.listing.readiness = state == 0 ? Readiness::ready : state == 1 ? Readiness::draining : Readiness::gone;
+    place.listing.placed = true;
+    place.listing.place = static_cast<int>(number(record.substr(13, 2)));
+    place.listing.started = started(static_cast<double>(number(record.substr(19, 8))));
+    event.places.push_back(place);
+  }
+  waiting_.erase(0, 4 + length);
+  return event;
+}
+
+std::vector<BulletinEvent> readKnown(const wire::Value& known) {
+  std::vector<BulletinEvent> events;
+  for (const auto& item : wire::array(known, "items").GetArray()) {
+    if (!item.IsObject()) wire::wrong("items", "objects are wanted");
+    BulletinEvent event;
+    event.number = static_cast<std::uint64_t>(wire::number(item, "no"));
+    const auto& roster = wire::object(item, "roster");
+    event.whole = wire::mark(roster, "all");
+    for (const auto& target : wire::array(roster, "targets").GetArray()) {
+      if (!target.IsObject()) wire::wrong("targets", "objects are wanted");
+      Place place;
+      const auto id = readExchangeId(wire::name(target, "uid"));
+      if (!id) wire::wrong("uid", "s- and 8 hex digits are wanted");
+      const auto address = iax2::parseAddress(wire::name(target, "endpoint"));
+      if (!address) wire::wrong("endpoint", "an address and a port are wanted");
+      const std::string_view state = wire::name(target, "state");
+      if (state != "ready" && state != "draining" && state != "gone") wire::wrong("state", "no such state");
+      place.listing.id = *id;
+      place.address = *address;
+      place.listing.readiness = state == "ready"      ? Readiness::ready
+                                : state == "draining" ? Readiness::draining
+                                                      : Readiness::gone;
+      place.listing.placed = wire::find(target, "pod_group") != nullptr;
+      place.listing.place = wire::integer(target, "pod_group", -1);
+      place.listing.started = started(wire::number(target, "boot_ms", 0));
+      event.places.push_back(place);
+    }
+    events.push_back(std::move(event));
+  }
+  return events;
+}
+
+}  // namespace thistlefold::platform
--- /dev/null
+++ b/src/platform/deployment.cpp
@@ -0,0 +1,66 @@
+#include "platform/deployment.hpp"
+
+#include <rapidjson/error/en.h>
+
+#include <algorithm>
+#include <charconv>
+
+#include "wire/start.hpp"
+
+namespace thistlefold::platform {
+namespace {
+
+using namespace wire;
+
+iax2::Address address(const Value& fields, const char* field) {
+  const auto read = iax2::parseAddress(name(fields, field));
+  if (!read) wrong(field, "an address and a port are wanted, as in 127.0.0.1:5070");
+  return *read;
+}
+
+std::uint64_t seed(const Value& fields) {
+  const std::string_view digits = name(fields, "seed", "0");
+  std::uint64_t read = 0;
+  if (std::from_chars(digits.data(), digits.data() + digits.size(), read, 16).ec != std::errc()) {
+    wrong("seed", "hex digits are wanted");
+  }
+  return read;
+}
+
+}  // namespace
+
+Deployment readDeployment(std::string_view text) {
+  rapidjson::Document read;
+  read.Parse<rapidjson::kParseFullPrecisionFlag | rapidjson::kParseIterativeFlag>(text.data(), text.size());
+  if (read.HasParseError()) {
+    throw WireFault(std::string(rapidjson::GetParseError_En(read.GetParseError())) + " at offset " +
+                    std::to_string(read.GetErrorOffset()));
+  }
+  if (!read.IsObject()) throw WireFault("an object is wanted at offset 0");
+  Deployment out;
+  out.name = name(read, "name", "");
+  out.listen = address(read, "listen");
+  out.bulletin = address(read, "bulletin");
+  out.seed = seed(read);
+  out.descriptors = std::clamp(integer(object(read, "limits"), "sockets", 256), 64, 65536);
+  out.known = readKnown(object(read, "known"));
+  const Value& settings = object(read, "settings");
+  out.data = readStart(settings);
+  out.here = out.data.pools ? -1 : placeHere(settings);
+  const Value& widths = array(object(settings, "FamilyInfo"), "ChannelsNeeded");
+  const Value& grades = array(settings, "Grades");
+  for (rapidjson::SizeType i = 0; i < grades.Size(); ++i) {
+    out.services.emplace_back(name(grades[i], "Name"));
+    out.widths.push_back(element(widths, i, "ChannelsNeeded", 1));
+  }
+  const Value& caps = object(settings, "Caps");
+  out.openCalls = static_cast<std::size_t>(std::clamp(integer(caps, "OpenCap", 20000), 1, 1000000));
+  out.connectWithin = Span::ms(number(caps, "ConnectTimeout", 500));
+  for (const Value& one : array(object(settings, "Report"), "Names").GetArray()) {
+    if (!one.IsString()) wrong("Names", "text is wanted");
+    out.reports.emplace_back(wire::text(one));
+  }
+  return out;
+}
+
+}  // namespace thistlefold::platform
--- /dev/null
+++ b/src/platform/softswitch.hpp
@@ -0,0 +1,135 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "party.hpp"
+#include "platform/deployment.hpp"
+#include "platform/message.hpp"
+#include "thistlefold/controller.hpp"
+#include "thistlefold/writer.hpp"
+
+namespace thistlefold::platform {
+
+struct Call;
+struct Peer;
+struct Side;
+struct CallerSide;
+struct TrunkSide;
+
+using OpenController = std::function<std::unique_ptr<Controller>(const OfficeData&, std::uint64_t seed)>;
+
+/// What passed since the start.
+struct Counts {
+  std::uint64_t taken = 0, answered = 0, refused = 0, failed = 0, abandoned = 0, invites = 0, cut = 0;
+  std::uint64_t unusable = 0;   // messages or streams from callers that can't be used
+  std::uint64_t spoilt = 0;     // streams from exchanges that can't be read any more
+  std::uint64_t dialled = 0, notUp = 0;
+  std::uint64_t overBound = 0;  // set-ups turned away at a bound of this office
+  std::uint64_t asked = 0;      // connections to the bulletin
+};
+
+/// One softswitch on the platform's protocol: connections, set-ups and standing calls between messages and the
+/// module. Free of I/O and clock. All routes, waits, repeats and judgements of health are the module's.
+class Softswitch final : public Party, private Arrivals, private Writer {
+ public:
+  /// `dialler` must outlive it. `tell` hears of what an operator should know, in one line each.
+  Softswitch(Deployment deployment, Instant now, Dialler& dialler, const OpenController& open,
+             std::function<void(std::string_view)> tell);
+  ~Softswitch() override;
+
+  void came(Instant now, Stream& stream) override;
+  void up(Instant now, Stream& stream) override;
+  void read(Instant now, Stream& stream, std::string_view bytes) override;
+  void down(Instant now, Stream& stream, StreamEnd how) override;
+  void turn(Instant now) override;
+  Instant nextTurn() const override;
+
+  /// The configuration was replaced: the bulletin may be elsewhere and more events known.
+  void reconfigured(Instant now, const Deployment& deployment);
+  /// A planned restart: what is open is finished, what comes soon is still taken.
+  void stop(Instant now);
+  /// Nothing is open any more and nothing usual comes any more.
+  bool stopped(Instant now) const;
+
+  const Counts& counts() const { return counts_; }
+  /// What this softswitch believes of itself and of each exchange, in one line.
+  std::string account(Instant now) const;
+
+ private:
+  void deliver(Controller& controller) override;
+  void invite(const Session& session, const Exchange& to, Span giveUpAfter) override;
+  void busy(const Session& session, Span retryAfter) override;
+  void surrender(const Session& session) override;
+  void wakeIn(Span delay) override;
+  void subscribe() override {}
+
+  void fromCaller(CallerSide& side, std::string_view line);
+  void setup(CallerSide& side, const Message& message);
+  void standsAlready(CallerSide& side, const Message& message, std::string_view at);
+  void unusable(CallerSide& side, std::string_view id);
+  void overFull(CallerSide& side, std::string_view id);
+  void releasedByCaller(Call& call, int cause);
+  void closeCaller(CallerSide& side);
+  CallerSide* callerFor(const Call& call);
+
+  void fromExchange(TrunkSide& side, std::string_view line);
+  void feedback(Peer& peer, const Message& message);
+  void answeredBy(TrunkSide& side, Call& call, const std::string& description);
+  void releasedBy(TrunkSide& side, Call& call, const Message& message);
+  void over(Call& call, Ending ending, int cause);
+  void ended(Call& call, Ending ending, Reason reason = Reason::none, bool farProcessor = false,
+             Span toldWait = Span::none());
+  void lose(TrunkSide& side, Ending unsent);
+  void release(Peer& peer, TrunkSide* side, const std::string& id, int cause);
+  TrunkSide* sideFor(Peer& peer);
+  TrunkSide* dial(Peer& peer);
+  void write(TrunkSide& side, Call& call);
+  void cutStanding(Peer& peer, Instant before);
+  void finish(Call& call, Kind kind, const Fields& fields, int cause, std::string_view description = {});
+  void tellCaller(Call& call, int cause);
+
+  void apply(const std::vector<BulletinEvent>& events);
+  void fromBulletin(std::string_view bytes);
+  void askBulletin();
+  void keepSides();
+  void keepCallers();
+  void round();
+  std::size_t trunkSides() const;
+
+  Deployment deployment_;
+  Dialler* dialler_;
+  std::function<void(std::string_view)> tell_;
+  std::unique_ptr<Controller> controller_;
+  wire::Roster roster_;
+  std::unordered_map<std::string, std::unique_ptr<Call>> calls_;
+  std::vector<Call*> ringing_;
+  std::vector<std::string> finished_;
+  std::vector<std::unique_ptr<CallerSide>> callers_;
+  std::vector<std::unique_ptr<Side>> dead_;  // kept until the round is over
+  struct Bulletin;
+  std::unique_ptr<Bulletin> bulletin_;
+  std::vector<std::function<void(Controller&)>> events_, delivered_;
+  struct Over {
+    std::string id;
+    Instant at;
+    int cause;
+  };
+  std::vector<Over> overUnknown_;  // released by an exchange before a caller named them
+  std::vector<Over> owedToCallers_;
+  Counts counts_;
+  std::size_t openCalls_ = 0;
+  std::size_t trunkCount_ = 0;
+  Instant now_;
+  Instant started_;
+  Instant wakeAt_ = Instant::longAgo();
+  Instant keptAt_ = Instant::longAgo();
+  Instant stoppingSince_ = Instant::never();
+};
+
+}  // namespace thistlefold::platform
--- /dev/null
+++ b/src/wire/fields.cpp
@@ -0,0 +1,87 @@
+#include "wire/fields.hpp"
+
+#include <cmath>
+
+namespace thistlefold::wire {
+
+std::string_view text(const Value& value) { return {value.GetString(), value.GetStringLength()}; }
+
+[[noreturn]] void wrong(const char* field, const char* wanted) {
+  throw WireFault(std::string("field ") + field + ": " + wanted);
+}
+
+const Value* find(const Value& fields, const char* name) {
+  const auto it = fields.FindMember(name);
+  return it == fields.MemberEnd() || it->value.IsNull() ? nullptr : &it->value;
+}
+
+const Value& need(const Value& fields, const char* name) {
+  const Value* value = find(fields, name);
+  if (value == nullptr) wrong(name, "missing");
+  return *value;
+}
+
+double asNumber(const Value& value, const char* name) {
+  if (!value.IsNumber() || !std::isfinite(value.GetDouble())) wrong(name, "a number is wanted");
+  return value.GetDouble();
+}
+
+double number(const Value& fields, const char* name) { return asNumber(need(fields, name), name); }
+
+double number(const Value& fields, const char* name, double absent) {
+  const Value* value = find(fields, name);
+  return value == nullptr ? absent : asNumber(*value, name);
+}
+
+int integer(const Value& fields, const char* name, std::optional<int> absent) {
+  const Value* value = find(fields, name);
+  if (value == nullptr && absent) return *absent;
+  const double read = value == nullptr ? number(fields, name) : asNumber(*value, name);
+  if (std::abs(read) > 2e9 || read != std::floor(read)) wrong(name, "a whole number is wanted");
+  return static_cast<int>(read);
+}
+
+bool mark(const Value& fields, const char* name) {
+  const Value* value = find(fields, name);
+  if (value == nullptr) return false;
+  if (!value->IsBool()) wrong(name, "true or false is wanted");
+  return value->GetBool();
+}
+
+std::string_view name(const Value& fields, const char* field) {
+  const Value& value = need(fields, field);
+  if (!value.IsString()) wrong(field, "text is wanted");
+  return text(value);
+}
+
+std::string_view name(const Value& fields, const char* field, std::string_view absent) {
+  return find(fields, field) == nullptr ? absent : name(fields, field);
+}
+
+const Value& object(const Value& fields, const char* field) {
+  static const Value empty(rapidjson::kObjectType);
+  const Value* value = find(fields, field);
+  if (value == nullptr) return empty;
+  if (!value->IsObject()) wrong(field, "an object is wanted");
+  return *value;
+}
+
+const Value& array(const Value& fields, const char* field) {
+  static const Value empty(rapidjson::kArrayType);
+  const Value* value = find(fields, field);
+  if (value == nullptr) return empty;
+  if (!value->IsArray()) wrong(field, "an array is wanted");
+  return *value;
+}
+
+double element(const Value& list, rapidjson::SizeType index, const char* field, double absent) {
+  return index < list.Size() ? asNumber(list[index], field) : absent;
+}
+
+std::uint32_t exchangeId(const Value& fields) {
+  const Value& value = need(fields, "Exchange");
+  if (!value.IsUint()) wrong("Exchange", "a number below 2^32 is wanted");
+  return value.GetUint();
+}
+
+}  // namespace thistlefold::wire
--- /dev/null
+++ b/src/wire/roster.cpp
@@ -0,0 +1,43 @@
+#include "wire/roster.hpp"
+
+#include <algorithm>
+
+namespace thistlefold::wire {
+
+ListedExchange& Roster::exchange(std::uint32_t id) {
+  auto& exchange = exchanges_[id];
+  if (exchange == nullptr) {
+    exchange = make_();
+    exchange->id = id;
+  }
+  return *exchange;
+}
+
+ListedExchange* Roster::known(std::uint32_t id) const {
+  const auto it = exchanges_.find(id);
+  return it == exchanges_.end() ? nullptr : it->second.get();
+}
+
+Exchange* Roster::at(double place) const {
+  if (!(place >= -1e9 && place <= 1e9)) return nullptr;
+  const auto it = places_.find(static_cast<int>(place));
+  return it == places_.end() ? nullptr : it->second;
+}
+
+void Roster::list(Controller& controller, const std::vector<Listing>& lines, bool whole) {
+  for (const Listing& line : lines) {
+    ListedExchange& listed = exchange(line.id);
+    if (line.placed) listed.place = line.place;
+    listed.own = listed.place == here_ && here_ >= 0;
+    Exchange*& holder = places_[listed.place];
+    if (holder == nullptr || line.readiness == Readiness::ready) holder = &listed;
+    controller.listed(listed, line.readiness, line.started);
+  }
+  if (!whole) return;
+  for (auto& [id, listed] : exchanges_) {
+    const bool named = std::any_of(lines.begin(), lines.end(), [&](const Listing& line) { return line.id == id; });
+    if (!named) controller.listed(*listed, Readiness::gone, listed->started);
+  }
+}
+
+}  // namespace thistlefold::wire
--- /dev/null
+++ b/src/wire/start.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+// What an office is told when it is put into service: the simulator's first message and a softswitch's configuration
+// hold the same object.
+
+#include "thistlefold/office_data.hpp"
+#include "wire/fields.hpp"
+
+namespace thistlefold::wire {
+
+/// Throws WireFault.
+OfficeData readStart(const Value& conf);
+/// The own exchange's place; -1 where there is none.
+int placeHere(const Value& conf);
+
+}  // namespace thistlefold::wire
