--- a/src/platform/softswitch.cpp
+++ b/src/platform/softswitch.cpp
@@ -39,8 +39,11 @@
 constexpr Span kRememberOver = Span::ms(15000);
 constexpr std::size_t kOver = 2048;
 constexpr Span kKeeping = Span::ms(20);
-// A planned restart: what the platform still sends after SIGTERM, on open connections too.
-constexpr Span kStillComing = Span::ms(800);
+// A planned restart. SIGKILL comes no sooner than the longest limit, three seconds at most, and 0.7 s more after SIGTERM;
+// until shortly before, calls in transit are carried on, so other offices keep their tandem.
+constexpr Span kLongestLeave = Span::ms(3000);
+constexpr Span kLeaveSpare = Span::ms(400);   // over that limit; the rest is for the last answers to go out
+constexpr Span kLeaveTaking = Span::ms(300);  // before it ends, nothing more is taken
 
 constexpr int kNormal = 16;
 constexpr int kRefused = 34;
@@ -213,14 +216,16 @@
   if (side.what == Side::What::caller) return closeCaller(static_cast<CallerSide&>(side));
   auto& trunk = static_cast<TrunkSide&>(side);
   Peer& peer = *trunk.peer;
-  if (how == StreamEnd::refused) {
-    ++counts_.notUp;
-    const bool anyUp = std::any_of(peer.sides.begin(), peer.sides.end(), [](const auto& one) { return one->up; });
-    if (!anyUp) peer.refusedSince = std::min(peer.refusedSince, now);
-  }
+  if (how == StreamEnd::refused) notUp(peer);
   lose(trunk, Ending::unreachable);
 }
 
+void Softswitch::notUp(Peer& peer) {
+  ++counts_.notUp;
+  const bool anyUp = std::any_of(peer.sides.begin(), peer.sides.end(), [](const auto& one) { return one->up; });
+  if (!anyUp) peer.refusedSince = std::min(peer.refusedSince, now_);
+}
+
 // ---- Callers --------------------------------------------------------------------------------------------------------
 
 void Softswitch::fromCaller(CallerSide& side, std::string_view line) {
@@ -313,7 +318,7 @@
   }
   side.proven = true;
   if (openCalls_ >= deployment_.openCalls || side.open >= kOpenOfCaller ||
-      (stoppingSince_ != Instant::never() && now_ - stoppingSince_ > kStillComing)) {
+      now_ > leaveAt_ - kLeaveTaking) {
     return overFull(side, message.id);
   }
   auto made = std::make_unique<Call>();
@@ -325,7 +330,7 @@
   call.service = &deployment_.data.services[serviceAt];
   call.width = width;
   call.destination = roster_.at(*dest);
-  call.timerLimit = now_ + Span::ms(*left);
+  call.timerLimit = std::min(now_ + Span::ms(*left), leaveAt_ - kLeaveTaking * 0.5);
   call.dialledNumber = number;
   call.transit = figureOf("transit").value_or(0) == 1;
   call.wasCut = figureOf("again").value_or(0) == 1;
@@ -554,7 +559,7 @@
 
 void Softswitch::fromExchange(TrunkSide& side, std::string_view line) {
   const auto message = readMessage(line);
-  if (!message || message->kind == Kind::other) {
+  if (!message) {
     ++counts_.spoilt;
     return lose(side, Ending::reset);
   }
@@ -671,6 +676,15 @@
   peer.sides.erase(it);
 }
 
+/// The process of an exchange is no more: what stood there is over, and there is nobody to tell.
+void Softswitch::leave(Peer& peer) {
+  cutStanding(peer, Instant::never());
+  peer.owed.clear();
+  while (!peer.sides.empty()) lose(*peer.sides.back(), Ending::unreachable);
+  peer.owed.clear();
+  peer.address = {};
+}
+
 void Softswitch::cutStanding(Peer& peer, Instant before) {
   const auto standing = peer.standing;
   for (Call* call : standing) {
@@ -731,6 +745,14 @@
   for (const BulletinEvent& event : events) {
     if (event.number <= bulletin_->last && bulletin_->last > 0) continue;
     bulletin_->last = event.number;
+    // Who has the address of another took its place: the one before runs no more, and nothing must go there for it.
+    for (const Place& place : event.places) {
+      if (place.listing.readiness == Readiness::gone) continue;
+      for (const auto& [id, listed] : roster_.all()) {
+        auto& before = static_cast<Peer&>(*listed);
+        if (id != place.listing.id && before.address == place.address) leave(before);
+      }
+    }
     std::vector<wire::Listing> lines;
     for (const Place& place : event.places) {
       lines.push_back(place.listing);
@@ -814,7 +836,9 @@
     for (std::size_t i = peer.sides.size(); i-- > 0;) {
       TrunkSide& side = *peer.sides[i];
       if (!side.up && now_ - side.dialled > deployment_.connectWithin) {
-        ++counts_.notUp;
+        // Nobody answers: where the directory says so too, the machine is no more.
+        if (peer.readiness == Readiness::gone) notUp(peer);
+        else ++counts_.notUp;
         lose(side, Ending::unreachable);
       } else if (side.doubtful && side.ringing.empty() && now_ - side.spokenTo > kDoubtful) {
         lose(side, Ending::unreachable);
@@ -824,6 +848,7 @@
       }
     }
     if (peer.refusedSince != Instant::never() && now_ - peer.refusedSince > kDeadAfter) cutStanding(peer, Instant::never());
+    if (peer.address == iax2::Address{}) continue;
     const bool wanted = peer.readiness == Readiness::ready || !peer.standing.empty() || !peer.owed.empty();
     const bool usable = std::any_of(peer.sides.begin(), peer.sides.end(), [](const auto& side) { return !side->doubtful; });
     if (wanted && !usable && peer.sides.size() < kSidesOfPeer && peer.nextDial <= now_) dial(peer);
@@ -860,12 +885,16 @@
   return next;
 }
 
-void Softswitch::stop(Instant now) { stoppingSince_ = std::min(stoppingSince_, now); }
-
-bool Softswitch::stopped(Instant now) const {
-  return stoppingSince_ != Instant::never() && now - stoppingSince_ > kStillComing && openCalls_ == 0;
+void Softswitch::stop(Instant now) {
+  if (stoppingSince_ != Instant::never()) return;
+  stoppingSince_ = now;
+  Span longest;
+  for (const Service& service : deployment_.data.services) longest = std::max(longest, service.timerLimit);
+  leaveAt_ = now + std::min(longest, kLongestLeave) + kLeaveSpare;
 }
 
+bool Softswitch::stopped(Instant now) const { return now >= leaveAt_ && openCalls_ == 0; }
+
 std::string Softswitch::account(Instant now) const {
   std::string out = "callers=" + std::to_string(callers_.size()) + " trunks=" + std::to_string(trunkSides()) +
                     " calls=" + std::to_string(calls_.size()) + " open=" + std::to_string(openCalls_) +
--- a/src/platform/softswitch.hpp
+++ b/src/platform/softswitch.hpp
@@ -90,6 +90,8 @@
   TrunkSide* sideFor(Peer& peer);
   TrunkSide* dial(Peer& peer);
   void write(TrunkSide& side, Call& call);
+  void leave(Peer& peer);
+  void notUp(Peer& peer);
   void cutStanding(Peer& peer, Instant before);
   void finish(Call& call, Kind kind, const Fields& fields, int cause, std::string_view description = {});
   void tellCaller(Call& call, int cause);
@@ -129,7 +131,7 @@
   Instant started_;
   Instant wakeAt_ = Instant::longAgo();
   Instant keptAt_ = Instant::longAgo();
-  Instant stoppingSince_ = Instant::never();
+  Instant stoppingSince_ = Instant::never(), leaveAt_ = Instant::never();
 };
 
 }  // namespace thistlefold::platform
--- a/src/wire/roster.hpp
+++ b/src/wire/roster.hpp
@@ -11,6 +11,7 @@
 namespace thistlefold::wire {
 
 struct ListedExchange : Exchange {
+  virtual ~ListedExchange() = default;
   std::uint32_t id = 0;
 };
 
--- a/tests/commands.sh
+++ b/tests/commands.sh
@@ -160,5 +160,44 @@
 check "... and it says so" grep -q '"event":"stopped"' "$folder/north.log"
 check "... and the level had changed" grep -q '"event":"stood"' "$folder/north.log"
 check "the other has no line a session" test "$(grep -c '"event":"stood"' "$folder/south.log")" -eq 0
+
+# ---- The platform's protocol, on a socket
+cat >"$folder/node.json" <<'JSON'
+{"name":"n1","listen":"127.0.0.1:0","seed":"1f","limits":{"sockets":64},"bulletin":"127.0.0.1:9","known":{"no":1,"items":[]},
+ "settings":{"Grades":[{"Name":"voice","Aim":100,"GiveUp":200}],"Caps":{"RetryAfter":true,"MaxRetryAfter":700}}}
+JSON
+printf '{"listen":7}' >"$folder/wrong.json"
+check "a wrong configuration" status 2 "$program" node "$folder/wrong.json"
+check "... is named" says "wrong.json: field listen: text is wanted"
+check "a configuration that is not there" status 2 "$program" node "$folder/none.json"
+PROXY_CONFIG="$folder/node.json" "$program" node 2>"$folder/node.log" &
+node=$!
+children+=("$node")
+for _ in $(seq 100); do grep -q 'listening' "$folder/node.log" && break; sleep 0.05; done
+port=$(sed -n 's/.*listening 127.0.0.1:\([0-9]*\).*/\1/p' "$folder/node.log")
+ask() { # LINE: what the softswitch says to it, on a connection of its own
+  exec 9<>"/dev/tcp/127.0.0.1/$port" && printf '%s\n' "$1" >&9 && IFS= read -r -t 5 -u 9 answer
+  exec 9>&-
+  printf '%s\n' "$answer" >"$folder/out"
+}
+setup='{"type":"setup","id":"00000000000000aa","fields":{"class":"voice","left":"150","key":"7f","extras":"dest:1;width:1"},"sdp":"v=0"}'
+ask '{"type":"ping","id":"00000000000000ab","fields":{},"cause":0}'
+check "a test passes" says '"type":"pong","id":"00000000000000ab","fields":{},"cause":1'
+ask "$setup"
+check "a call to nowhere is told when to come back" says '"fields":{"wait":"700"},"cause":34'
+ask 'GET / HTTP/1.1'
+check "noise is told so" says '"cause":100'
+cp "$folder/wrong.json" "$folder/node.json"
+kill -HUP "$node"
+for _ in $(seq 40); do grep -q 'stays as it was' "$folder/node.log" && break; sleep 0.05; done
+check "a wrong configuration at SIGHUP changes nothing" grep -q 'field listen: text is wanted; it stays as it was' "$folder/node.log"
+kill -TERM "$node"
+sleep 0.1
+ask '{"type":"ping","id":"00000000000000ab","fields":{},"cause":0}'
+check "after SIGTERM a test fails" says '"cause":0'
+ask "$setup"
+check "... and calls are taken" says '"fields":{"wait":"700"},"cause":34'
+wait "$node"
+check "... and it ends with status 0" test $? -eq 0
 [ $failed -eq 0 ] && echo "all commands ok"
 exit $failed
