Platform: calls at a machine that vanished are ended after five silent seconds

The log of n2 shows the draining exchange at 37 standing calls and the same free circuits from 10 s on, with connections up and no refusal. Checked: the address was not given anew (no leave in the log), no release came from the exchange. It had vanished while it drained: nothing is sent to one that drains, so nothing timed out and keepSides() dialled nothing. Change: an exchange with standing calls that says nothing for 1.5 s is tried with a new connection; if two do not come up and five seconds pass, its calls are ended at both sides. One that takes connections keeps them.

--- a/src/platform/softswitch.cpp
+++ b/src/platform/softswitch.cpp
@@ -35,6 +35,11 @@
 constexpr Span kRedialLast = Span::ms(800);
 // An exchange that refuses connections for this long, with none standing, is dead and has cut its calls.
 constexpr Span kDeadAfter = Span::ms(1000);
+// An exchange at which calls stand and that says nothing is tried with a new connection: a machine that has vanished
+// takes none, and nobody but us can tell its callers. The platform wants them told within eight seconds.
+constexpr Span kQuiet = Span::ms(1500);
+constexpr Span kTryEvery = Span::ms(800);
+constexpr Span kVanished = Span::ms(5000);
 // Calls that an exchange released before a caller named them, and releases that no caller could be told yet.
 constexpr Span kRememberOver = Span::ms(15000);
 constexpr std::size_t kOver = 2048;
@@ -85,6 +90,9 @@
   Instant nextDial = Instant::longAgo();
   Span redial = kRedialFirst;
   Instant refusedSince = Instant::never();  // none stands and connections are refused
+  Instant alive = Instant::longAgo();       // it said something, or took a connection
+  Instant triedAt = Instant::longAgo();
+  int untaken = 0;  // connections that did not come up since it was alive
 };
 
 struct Call : Session {
@@ -163,6 +171,8 @@
   Peer& peer = *trunk.peer;
   peer.redial = kRedialFirst;
   peer.refusedSince = Instant::never();
+  peer.alive = now;
+  peer.untaken = 0;
   for (const auto& [id, cause] : peer.owed) stream.send(writeMessage(Kind::release, id, {}, cause));
   peer.owed.clear();
   const auto ringing = trunk.ringing;
@@ -216,12 +226,15 @@
   if (side.what == Side::What::caller) return closeCaller(static_cast<CallerSide&>(side));
   auto& trunk = static_cast<TrunkSide&>(side);
   Peer& peer = *trunk.peer;
-  if (how == StreamEnd::refused) notUp(peer);
+  if (how == StreamEnd::refused) notUp(peer, true);
   lose(trunk, Ending::unreachable);
 }
 
-void Softswitch::notUp(Peer& peer) {
+void Softswitch::notUp(Peer& peer, bool refused) {
   ++counts_.notUp;
+  ++peer.untaken;
+  // Nobody answers: only where the directory says so too is the machine taken for gone this soon.
+  if (!refused && peer.readiness != Readiness::gone) return;
   const bool anyUp = std::any_of(peer.sides.begin(), peer.sides.end(), [](const auto& one) { return one->up; });
   if (!anyUp) peer.refusedSince = std::min(peer.refusedSince, now_);
 }
@@ -563,7 +576,8 @@
     ++counts_.spoilt;
     return lose(side, Ending::reset);
   }
-  side.heard = now_;
+  side.heard = side.peer->alive = now_;
+  side.peer->untaken = 0;
   side.doubtful = false;
   feedback(*side.peer, *message);
   if (message->kind != Kind::answer && message->kind != Kind::release) return;
@@ -688,7 +702,9 @@
 void Softswitch::cutStanding(Peer& peer, Instant before) {
   const auto standing = peer.standing;
   for (Call* call : standing) {
-    if (call->stoodAt < before) over(*call, Ending::reset, kFailed);
+    if (call->stoodAt >= before) continue;
+    release(peer, nullptr, call->id, kNormal);  // should it stand there all the same
+    over(*call, Ending::reset, kFailed);
   }
 }
 
@@ -836,9 +852,7 @@
     for (std::size_t i = peer.sides.size(); i-- > 0;) {
       TrunkSide& side = *peer.sides[i];
       if (!side.up && now_ - side.dialled > deployment_.connectWithin) {
-        // Nobody answers: where the directory says so too, the machine is no more.
-        if (peer.readiness == Readiness::gone) notUp(peer);
-        else ++counts_.notUp;
+        notUp(peer, false);
         lose(side, Ending::unreachable);
       } else if (side.doubtful && side.ringing.empty() && now_ - side.spokenTo > kDoubtful) {
         lose(side, Ending::unreachable);
@@ -849,6 +863,12 @@
     }
     if (peer.refusedSince != Instant::never() && now_ - peer.refusedSince > kDeadAfter) cutStanding(peer, Instant::never());
     if (peer.address == iax2::Address{}) continue;
+    const Span quiet = now_ - peer.alive;
+    if (!peer.standing.empty() && quiet > kQuiet && now_ - peer.triedAt > kTryEvery) {
+      peer.triedAt = now_;
+      if (peer.sides.size() < kSidesOfPeer) dial(peer);
+    }
+    if (quiet > kVanished && peer.untaken >= 2) cutStanding(peer, Instant::never());
     const bool wanted = peer.readiness == Readiness::ready || !peer.standing.empty() || !peer.owed.empty();
     const bool usable = std::any_of(peer.sides.begin(), peer.sides.end(), [](const auto& side) { return !side->doubtful; });
     if (wanted && !usable && peer.sides.size() < kSidesOfPeer && peer.nextDial <= now_) dial(peer);
--- a/src/platform/softswitch.hpp
+++ b/src/platform/softswitch.hpp
@@ -91,7 +91,7 @@
   TrunkSide* dial(Peer& peer);
   void write(TrunkSide& side, Call& call);
   void leave(Peer& peer);
-  void notUp(Peer& peer);
+  void notUp(Peer& peer, bool refused);
   void cutStanding(Peer& peer, Instant before);
   void finish(Call& call, Kind kind, const Fields& fields, int cause, std::string_view description = {});
   void tellCaller(Call& call, int cause);
--- a/tests/program/platform.cpp
+++ b/tests/program/platform.cpp
@@ -302,6 +302,28 @@
   CHECK(caller.sent(Kind::release).front().cause == 41);
 }
 
+TEST_CASE("platform: a machine that vanished takes no connection, and its callers are told in time; a slow one keeps its calls") {
+  for (const bool takes : {false, true}) {
+    Bench bench;
+    Wire& caller = bench.caller();
+    Wire& at = bench.stand(caller, kA);
+    bench.raiseAll();
+    for (int i = 0; i < 70; ++i) {
+      bench.pass(100);
+      for (Wire* wire : bench.dialled(kFirst)) {
+        // Either way it says nothing more.
+        if (takes && std::find(bench.raised.begin(), bench.raised.end(), wire) == bench.raised.end()) {
+          bench.raised.push_back(wire);
+          bench.office.up(bench.now, *wire);
+        }
+      }
+    }
+    CHECK(caller.sent(Kind::release).size() == (takes ? 0 : 1));
+    CHECK(at.sent(Kind::release).size() == (takes ? 0 : 1));
+    CHECK(bench.dialled(kFirst).size() < 12);
+  }
+}
+
 TEST_CASE("platform: what a caller gives up, or leaves by closing, is given up at the exchange") {
   Bench bench;
   Wire& caller = bench.caller();
