Platform: the own exchange has no group, so calls to its numbers go round

To blame: Softswitch::apply(). Connections that make room for others are cut at once, without lingering.

--- a/src/platform/softswitch.cpp
+++ b/src/platform/softswitch.cpp
@@ -146,7 +146,7 @@
     }
     ++counts_.overBound;
     if (least == nullptr) return stream.cut();
-    closeCaller(*least);
+    closeCaller(*least, true);
   }
   auto side = std::make_unique<CallerSide>();
   side->what = Side::What::caller;
@@ -421,9 +421,10 @@
   finished_.push_back(call.id);
 }
 
-void Softswitch::closeCaller(CallerSide& side) {
+/// `atOnce`: nothing was said that must still go out, so its descriptor is free for the next at once.
+void Softswitch::closeCaller(CallerSide& side, bool atOnce) {
   if (side.stream != nullptr) {
-    side.stream->end();
+    atOnce ? side.stream->cut() : side.stream->end();
     side.stream = nullptr;
   }
   for (auto& [id, call] : calls_) {
@@ -782,7 +783,13 @@
         if (place.listing.started > Instant::longAgo()) cutStanding(peer, place.listing.started);
       }
     }
-    events_.push_back([this, lines, whole = event.whole](Controller& to) { roster_.list(to, lines, whole); });
+    events_.push_back([this, lines, whole = event.whole](Controller& to) {
+      roster_.list(to, lines, whole);
+      // No group leads to the own exchange, which nothing else would tell: no connection goes there.
+      for (const auto& [id, listed] : roster_.all()) {
+        if (listed->own && listed->circuits < 0) to.circuits(*listed, 0, 0);
+      }
+    });
   }
 }
 
@@ -887,7 +894,7 @@
     const bool mute = !side.proven && now_ - side.since > kSpeakWithin;
     const bool stuck = side.brokenSince != Instant::never() && now_ - side.brokenSince > kSpeakWithin;
     const bool idle = side.open == 0 && now_ - side.spoke > kIdleCaller;
-    if (mute || stuck || idle) closeCaller(side);
+    if (mute || stuck || idle) closeCaller(side, true);
   }
   std::erase_if(overUnknown_, [&](const Over& one) { return now_ - one.at > kRememberOver; });
   if (!owedToCallers_.empty()) {
--- a/src/platform/softswitch.hpp
+++ b/src/platform/softswitch.hpp
@@ -75,7 +75,7 @@
   void unusable(CallerSide& side, std::string_view id);
   void overFull(CallerSide& side, std::string_view id);
   void releasedByCaller(Call& call, int cause);
-  void closeCaller(CallerSide& side);
+  void closeCaller(CallerSide& side, bool atOnce = false);
   CallerSide* callerFor(const Call& call);
 
   void fromExchange(TrunkSide& side, std::string_view line);
--- a/tests/program/platform.cpp
+++ b/tests/program/platform.cpp
@@ -220,6 +220,15 @@
   CHECK(caller.sent(Kind::release).front().cause == 16);
 }
 
+TEST_CASE("platform: a call to the own exchange's numbers, from a caller of an office that is down, goes round") {
+  Bench bench;
+  Wire& caller = bench.caller();
+  bench.setUp(caller, kA, "dest:0;width:1;via:-1");
+  REQUIRE(bench.invited(kA) != nullptr);
+  CHECK(bench.invited(kA)->to != iax2::Address{0x7f000002, 5000});
+  CHECK(caller.sent(Kind::release).empty());
+}
+
 TEST_CASE("platform: a refusal says when to come back, and the module's other answers are told apart") {
   Bench bench;
   Wire& caller = bench.caller();
