--- a/src/platform/deployment.cpp
+++ b/src/platform/deployment.cpp
@@ -43,6 +43,7 @@
   out.bulletin = address(read, "bulletin");
   out.seed = seed(read);
   out.descriptors = std::clamp(integer(object(read, "limits"), "sockets", 256), 64, 65536);
+  out.memory = static_cast<std::size_t>(std::clamp(integer(object(read, "limits"), "memory_mb", 32), 8, 65536)) << 20;
   out.known = readKnown(object(read, "known"));
   const Value& settings = object(read, "settings");
   out.data = readStart(settings);
--- a/src/platform/deployment.hpp
+++ b/src/platform/deployment.hpp
@@ -19,6 +19,7 @@
   iax2::Address bulletin;
   std::uint64_t seed = 0;
   int descriptors = 256;
+  std::size_t memory = 32 << 20;  // bytes
   std::vector<BulletinEvent> known;
   OfficeData data;
   int here = -1;               // the own exchange's place
--- a/src/platform/softswitch.cpp
+++ b/src/platform/softswitch.cpp
@@ -26,7 +26,9 @@
 constexpr Span kDoubtful = Span::ms(2000);
 // Set-ups open on one connection, and what may wait to go out on one.
 constexpr std::size_t kOpenOfCaller = 512;
-constexpr std::size_t kUnsent = 512 * 1024;
+constexpr std::size_t kUnsent = 64 * 1024;
+// Part of the memory that descriptions of open set-ups may fill; connections take about another quarter at worst.
+constexpr std::size_t kPartOfDescriptions = 4;
 constexpr int kFaultsOfCaller = 8;
 // The bulletin sends an empty frame each second.
 constexpr Span kBulletinSilent = Span::ms(1600);
@@ -331,6 +333,7 @@
   }
   side.proven = true;
   if (openCalls_ >= deployment_.openCalls || side.open >= kOpenOfCaller ||
+      descriptions_ + message.description.size() > deployment_.memory / kPartOfDescriptions ||
       now_ > leaveAt_ - kLeaveTaking) {
     return overFull(side, message.id);
   }
@@ -339,6 +342,7 @@
   call.id = message.id;
   call.key = key;
   call.description = message.description;
+  descriptions_ += call.description.size();
   call.serviceAt = serviceAt;
   call.service = &deployment_.data.services[serviceAt];
   call.width = width;
@@ -416,11 +420,17 @@
   });
   if (call.caller != nullptr) --call.caller->open;
   --openCalls_;
+  dropDescription(call);
   call.state = Call::State::done;
   call.caller = nullptr;
   finished_.push_back(call.id);
 }
 
+void Softswitch::dropDescription(Call& call) {
+  descriptions_ -= call.description.size();
+  std::string().swap(call.description);
+}
+
 /// `atOnce`: nothing was said that must still go out, so its descriptor is free for the next at once.
 void Softswitch::closeCaller(CallerSide& side, bool atOnce) {
   if (side.stream != nullptr) {
@@ -614,8 +624,7 @@
   call.trunk = nullptr;
   call.state = Call::State::standing;
   call.stoodAt = now_;
-  call.description.clear();
-  call.description.shrink_to_fit();
+  dropDescription(call);
   call.peer->standing.push_back(&call);
   --openCalls_;
   if (call.caller != nullptr) {
@@ -717,6 +726,7 @@
     --call.caller->open;
   }
   --openCalls_;
+  dropDescription(call);
   call.state = Call::State::done;
   call.caller = nullptr;
   finished_.push_back(call.id);
--- a/src/platform/softswitch.hpp
+++ b/src/platform/softswitch.hpp
@@ -75,6 +75,7 @@
   void unusable(CallerSide& side, std::string_view id);
   void overFull(CallerSide& side, std::string_view id);
   void releasedByCaller(Call& call, int cause);
+  void dropDescription(Call& call);
   void closeCaller(CallerSide& side, bool atOnce = false);
   CallerSide* callerFor(const Call& call);
 
@@ -126,6 +127,7 @@
   std::vector<Over> owedToCallers_;
   Counts counts_;
   std::size_t openCalls_ = 0;
+  std::size_t descriptions_ = 0;  // bytes of those of open set-ups
   std::size_t trunkCount_ = 0;
   Instant now_;
   Instant started_;
--- a/tests/program/platform.cpp
+++ b/tests/program/platform.cpp
@@ -56,8 +56,13 @@
 
 /// A softswitch with two exchanges beside its own, all streams up and its groups told of.
 struct Bench final : Dialler {
-  explicit Bench(int descriptors = 256)
-      : office(readDeployment(deploymentText(descriptors)), now, *this, openOffice, [](std::string_view) {}) {
+  static Deployment with(int descriptors, std::size_t memory) {
+    Deployment read = readDeployment(deploymentText(descriptors));
+    read.memory = memory;
+    return read;
+  }
+  explicit Bench(int descriptors = 256, std::size_t memory = 32 << 20)
+      : office(with(descriptors, memory), now, *this, openOffice, [](std::string_view) {}) {
     pass(25);
     raiseAll();
     pass(25);
@@ -425,6 +430,17 @@
   }
   CHECK(bench.dialled().size() <= 24);  // 35% of the descriptors, and the bulletin
   CHECK(usual.sent(Kind::release).size() >= 50);  // OpenCap, and what the module does not take
+  Bench small(256, 64 * 1024);
+  Wire& caller = small.caller();
+  for (const std::string& id : {kA, kB}) {
+    small.tell(caller, R"({"type":"setup","id":")" + id + R"(","fields":{"class":"voice","left":"3000","key":"1","extras":"dest:1"},"sdp":")" +
+                           std::string(15000, 'x') + R"("})");
+  }
+  REQUIRE(caller.sent(Kind::release).size() == 1);  // what would fill the memory is turned away
+  CHECK(caller.sent(Kind::release).front().cause == 42);
+  small.answer(*small.invited(kA), kA);
+  small.setUp(caller, kB);
+  CHECK(small.invited(kB) != nullptr);
 }
 
 TEST_CASE("platform: the bulletin is asked again after a break, a stop or noise, and tells each event once") {
