Node: signals caught before the configuration is read; a half-written one is read again

Seen on reading: a signal before the handlers stood ended the program by default; a configuration caught while it was being written was given up until the next SIGHUP, with the bulletin's old address gone; a log whose reader is gone ended the program by SIGPIPE. Change: signal sets stand first, SIGPIPE is ignored, SIGHUP reads each 0.1 s for three seconds until the file can be read.

--- a/src/command/node.cpp
+++ b/src/command/node.cpp
@@ -5,7 +5,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <cstdlib>
+#include <csignal>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -21,6 +21,9 @@
 namespace asio = boost::asio;
 
 constexpr Span kAccountEvery = Span::ms(5000);
+// The bulletin's new address is wanted within four seconds of SIGHUP.
+constexpr Span kRereadEvery = Span::ms(100);
+constexpr int kRereads = 30;
 // Beside connections: standard streams, the listener, the poller, timers and signals.
 constexpr int kOtherDescriptors = 16;
 
@@ -38,9 +41,12 @@
 int node(const std::string& path) {
   auto log = std::make_shared<spdlog::logger>("node", std::make_shared<spdlog::sinks::stderr_sink_st>());
   log->set_pattern("time=%Y-%m-%dT%H:%M:%S.%e%z level=%l %v");
+  // First of all, so that none of them ends the program by default; what comes before it serves waits.
+  std::signal(SIGPIPE, SIG_IGN);  // a log that nobody reads any more
+  asio::io_context context(1);
+  asio::signal_set ends(context, SIGTERM, SIGINT), reread(context, SIGHUP);
   const platform::Deployment deployment = openDeployment(path);
 
-  asio::io_context context(1);
   const auto clock = net::realClock(context.get_executor());
   net::Streams streams(context.get_executor(), *clock, static_cast<std::size_t>(deployment.descriptors - kOtherDescriptors));
   platform::Softswitch softswitch(deployment, clock->now(), streams, openOffice,
@@ -52,7 +58,6 @@
     context.stop();
   });
 
-  asio::signal_set ends(context, SIGTERM, SIGINT), reread(context, SIGHUP);
   const auto untilStopped = [&]() -> asio::awaitable<void> {
     const auto alarm = clock->alarm();
     while (!softswitch.stopped(clock->now())) {
@@ -67,16 +72,27 @@
     softswitch.stop(clock->now());
     asio::co_spawn(context, untilStopped(), asio::detached);
   });
-  std::function<void()> onHup = [&] {
-    reread.async_wait([&](const boost::system::error_code& error, int) {
-      if (error) return;
+  // A file that is still being written can't be read now, but may be shortly after.
+  int rereading = 0;  // the newest signal's alone goes on
+  const auto untilRead = [&](int mine) -> asio::awaitable<void> {
+    const auto alarm = clock->alarm();
+    for (int tries = 0; tries < kRereads && mine == rereading; ++tries) {
       try {
         softswitch.reconfigured(clock->now(), openDeployment(path));
         log->info("configuration read anew");
+        streams.nudge();
+        co_return;
       } catch (const std::exception& failure) {
-        log->error("{}; it stays as it was", failure.what());
+        if (tries == 0) log->error("{}; it stays as it was", failure.what());
       }
-      streams.nudge();
+      alarm->set(clock->now() + kRereadEvery);
+      co_await alarm->rung();
+    }
+  };
+  std::function<void()> onHup = [&] {
+    reread.async_wait([&](const boost::system::error_code& error, int) {
+      if (error) return;
+      asio::co_spawn(context, untilRead(++rereading), asio::detached);
       onHup();
     });
   };
--- a/tests/commands.sh
+++ b/tests/commands.sh
@@ -187,6 +187,13 @@
 check "a call to nowhere is told when to come back" says '"fields":{"wait":"700"},"cause":34'
 ask 'GET / HTTP/1.1'
 check "noise is told so" says '"cause":100'
+cp "$folder/node.json" "$folder/right.json"
+head -c 100 "$folder/right.json" >"$folder/node.json"
+kill -HUP "$node"
+sleep 0.3
+cp "$folder/right.json" "$folder/node.json"
+for _ in $(seq 40); do grep -q 'read anew' "$folder/node.log" && break; sleep 0.05; done
+check "a half-written configuration at SIGHUP is read once it is whole" grep -q 'configuration read anew' "$folder/node.log"
 cp "$folder/wrong.json" "$folder/node.json"
 kill -HUP "$node"
 for _ in $(seq 40); do grep -q 'stays as it was' "$folder/node.log" && break; sleep 0.05; done
