Node: event numbers checked, folders named, the bulletin's loss told, untold figures called so

Seen by running it as an operator would: a configuration whose event number is below zero was taken, turned into the highest number there is, and every later event passed over; a folder in place of the file gave an error of the standard library without its name; a bulletin that is not there left no trace; a group never told of was shown as 0 of -1. Ruled out: a full disk or a closed pipe under the log, a dead exchange, an address of another host: each is told or survived as it was. Change: numbers from 1 alone; the folder is named; one line when the bulletin is lost and one when it is back; `untold`.

--- a/src/command/node.cpp
+++ b/src/command/node.cpp
@@ -29,8 +29,9 @@
 
 platform::Deployment openDeployment(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
+  file.peek();  // a folder can be opened, but not read
+  if (!file.is_open() || file.bad()) throw std::runtime_error(path + ": can't be read, a file is wanted");
   const std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
-  if (!file.good() && text.empty()) throw std::runtime_error(path + ": can't be read");
   try {
     return platform::readDeployment(text);
   } catch (const wire::WireFault& fault) {
--- a/src/platform/bulletin.cpp
+++ b/src/platform/bulletin.cpp
@@ -1,5 +1,7 @@
 #include "platform/bulletin.hpp"
 
+#include <cmath>
+
 #include "platform/message.hpp"
 
 namespace thistlefold::platform {
@@ -75,7 +77,10 @@
   for (const auto& item : wire::array(known, "items").GetArray()) {
     if (!item.IsObject()) wire::wrong("items", "objects are wanted");
     BulletinEvent event;
-    event.number = static_cast<std::uint64_t>(wire::number(item, "no"));
+    const double number = wire::number(item, "no");
+    // Whole numbers up to there are exact.
+    if (!(number >= 1 && number <= 9e15 && number == std::floor(number))) wire::wrong("no", "a number from 1 is wanted");
+    event.number = static_cast<std::uint64_t>(number);
     const auto& roster = wire::object(item, "roster");
     event.whole = wire::mark(roster, "all");
     for (const auto& target : wire::array(roster, "targets").GetArray()) {
--- a/src/platform/softswitch.cpp
+++ b/src/platform/softswitch.cpp
@@ -25,7 +25,7 @@
 
 struct Softswitch::Bulletin : Side {
   Frames frames;
-  bool up = false;
+  bool lost = false;  // since it was told of
   Instant heard;
   std::uint64_t last = 0;
   std::optional<std::uint64_t> gapAfter;  // the last event when one was found missing
@@ -53,7 +53,8 @@
   now_ = now;
   Side& side = *static_cast<Side*>(stream.kept);
   if (side.what == Side::What::bulletin) {
-    bulletin_->up = true;
+    if (bulletin_->lost) tell_("bulletin " + iax2::text(deployment_.bulletin) + ": connected again");
+    bulletin_->lost = false;
     bulletin_->heard = now;
     ++counts_.asked;
     return stream.send(askAfter(bulletin_->last));
@@ -112,7 +113,8 @@
   Side& side = *static_cast<Side*>(stream.kept);
   side.stream = nullptr;
   if (side.what == Side::What::bulletin) {
-    bulletin_->up = false;
+    if (!bulletin_->lost) tell_("bulletin " + iax2::text(deployment_.bulletin) + ": no connection; asked until there is one");
+    bulletin_->lost = true;
     bulletin_->nextDial = now + kRedialBulletin;
     return;
   }
@@ -232,7 +234,6 @@
   Bulletin& of = *bulletin_;
   if (of.stream != nullptr) of.stream->cut();
   of.frames = Frames();
-  of.up = false;
   of.heard = now_;
   of.stream = dialler_->dial(deployment_.bulletin);
   of.nextDial = now_ + kRedialBulletin;
@@ -304,12 +305,19 @@
   for (const auto& [id, listed] : roster_.all()) {
     const auto& peer = static_cast<const Peer&>(*listed);
     if (peer.readiness == Readiness::gone && peer.sides.empty()) continue;
-    char text[160];
-    std::snprintf(text, sizeof text, " | %08x place=%d %s free=%g/%g takes=%g sides=%zu ringing=%zu standing=%zu",
-                  id, peer.place, peer.own ? "own" : peer.readiness == Readiness::ready ? "ready" : "leaving",
-                  peer.freeCircuits, peer.circuits, peer.canTake.size() > 0 ? peer.canTake.last().value : -1.0,
-                  peer.sides.size(), peer.ringing.size(), peer.standing.size());
-    out += text;
+    const auto figure = [](bool told, double value) {
+      char text[32];
+      std::snprintf(text, sizeof text, "%g", value);
+      return told ? std::string(text) : std::string("untold");
+    };
+    char who[48];
+    std::snprintf(who, sizeof who, " | s-%08x place=%d %s", id, peer.place,
+                  peer.own ? "own" : peer.readiness == Readiness::ready ? "ready" : "leaving");
+    out += who;
+    const bool told = peer.circuits >= 0, room = peer.canTake.size() > 0;
+    out += " free=" + figure(told, peer.freeCircuits) + " size=" + figure(told, peer.circuits) +
+           " takes=" + figure(room, room ? peer.canTake.last().value : 0) + " sides=" + std::to_string(peer.sides.size()) +
+           " ringing=" + std::to_string(peer.ringing.size()) + " standing=" + std::to_string(peer.standing.size());
   }
   return out;
 }
--- a/tests/commands.sh
+++ b/tests/commands.sh
@@ -170,6 +170,9 @@
 check "a wrong configuration" status 2 "$program" node "$folder/wrong.json"
 check "... is named" says "wrong.json: field listen: text is wanted"
 check "a configuration that is not there" status 2 "$program" node "$folder/none.json"
+check "... is named" says "none.json: can't be read"
+check "a configuration that is a folder" status 2 "$program" node "$folder"
+check "... is named" says "$folder: can't be read, a file is wanted"
 PROXY_CONFIG="$folder/node.json" "$program" node 2>"$folder/node.log" &
 node=$!
 children+=("$node")
--- a/tests/program/platform.cpp
+++ b/tests/program/platform.cpp
@@ -548,4 +548,7 @@
   CHECK_THROWS_WITH(readDeployment(R"({"listen":"here"})"), "field listen: an address and a port are wanted, as in 127.0.0.1:5070");
   CHECK_THROWS_WITH(readDeployment(R"({"listen":"127.0.0.1:1","bulletin":"127.0.0.1:2","known":{"items":[{"no":1,"roster":{"targets":[{"uid":"7"}]}}]}})"),
                     "field uid: s- and 8 hex digits are wanted");
+  std::string numbered = deploymentText(64);
+  numbered.replace(numbered.find("\"items\":[{\"no\":7"), 16, "\"items\":[{\"no\":-7");
+  CHECK_THROWS_WITH(readDeployment(numbered), "field no: a number from 1 is wanted");
 }
