--- a/tests/commands.sh
+++ b/tests/commands.sh
@@ -24,7 +24,7 @@
 says() { grep -qF -- "$1" "$folder/out" || { echo "no '$1' in:"; head -20 "$folder/out"; return 1; }; }
 
 # ---- Help, checks and faults
-for command in serve exchange directory load day audit check status; do
+for command in serve node exchange directory load day audit check status; do
   check "$command --help" status 0 "$program" $command --help
 done
 check "check --explain" status 0 "$program" check --explain
