Network: read to the end before deciding, late connections checked, closing owes nothing

Seen on reading, each forced by order in tests/program/streams.cpp on loopback sockets or in platform.cpp: a round was played after one read, so a set-up was sent on whose caller's end lay right behind it; up() wrote INVITEs that had waited while their exchange drained; connections being closed counted against dialling and accepting; eviction closed callers with a set-up unread; context.stop() dropped output at the end of a planned restart; an empty frame's number was passed over; all offices asked the bulletin again at the same instants. Change: streams.cpp reads what is there, then one turn for all (turnSoon); closing connections make room first, dialling has one kept; exchanges without a connection take an idle one of whoever has most; takeBack() hands INVITEs that were never written back as moot; a release lost with its connection is written again on another within a second; part() ends a planned restart; silence, breaks and gaps of the bulletin are asked after at an instant by chance; a frame may hold 65,536 records; set-ups in pieces have 2.7 s for 2.

--- a/src/command/node.cpp
+++ b/src/command/node.cpp
@@ -24,8 +24,8 @@
 // The bulletin's new address is wanted within four seconds of SIGHUP.
 constexpr Span kRereadEvery = Span::ms(100);
 constexpr int kRereads = 30;
-// Beside connections: standard streams, the listener, the poller, timers and signals.
-constexpr int kOtherDescriptors = 16;
+// After the last answer of a planned restart: for what is still to go out, and so that no reset overtakes it.
+constexpr Span kPart = Span::ms(200);
 
 platform::Deployment openDeployment(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
@@ -49,7 +49,7 @@
   const platform::Deployment deployment = openDeployment(path);
 
   const auto clock = net::realClock(context.get_executor());
-  net::Streams streams(context.get_executor(), *clock, static_cast<std::size_t>(deployment.descriptors - kOtherDescriptors));
+  net::Streams streams(context.get_executor(), *clock, static_cast<std::size_t>(deployment.connections));
   platform::Softswitch softswitch(deployment, clock->now(), streams, openOffice,
                                   [&](std::string_view what) { log->info("{}", what); });
   std::string failed;
@@ -65,6 +65,12 @@
       alarm->set(clock->now() + Span::ms(10));
       co_await alarm->rung();
     }
+    streams.deafen();
+    softswitch.part(clock->now());
+    for (const Instant end = clock->now() + kPart; streams.held() > 0 && clock->now() < end;) {
+      alarm->set(clock->now() + Span::ms(10));
+      co_await alarm->rung();
+    }
     context.stop();
   };
   ends.async_wait([&](const boost::system::error_code& error, int) {
--- a/src/net/streams.cpp
+++ b/src/net/streams.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
+#include <deque>
 #include <set>
 
 namespace thistlefold::net {
@@ -18,8 +19,10 @@
 using asio::ip::tcp;
 using Error = boost::system::error_code;
 
-// Read at once from one connection before others get their turn.
+// One read, and how many of one connection before others get theirs: a few whole messages. A caller's set-up is decided on
+// only once what lies behind it was read too, be it a release or the end of the stream.
 constexpr std::size_t kReadAtOnce = 16 * 1024;
+constexpr int kReadsInARow = 8;
 // How long what was sent last may take to go out and be taken once a stream is ended, and what is read and thrown
 // away meanwhile, so that the system does not answer it with a reset that overtakes the last words.
 constexpr auto kLinger = std::chrono::milliseconds(500);
@@ -48,6 +51,18 @@
       alarm->set(party->nextTurn());
     });
   }
+  /// One turn after all that is ready to be read by now, so that no decision is made on half of what came.
+  static void turnSoon(const std::shared_ptr<State>& self) {
+    if (self->turnDue) return;
+    self->turnDue = true;
+    asio::post(self->executor, [self] {
+      self->turnDue = false;
+      self->turn();
+    });
+  }
+  /// Cuts the connection that has been closing for longest. False: none is closing.
+  bool makeRoom();
+  bool full() const { return streams.size() >= most; }
 
   asio::any_io_executor executor;
   Clock* clock;
@@ -58,7 +73,9 @@
   Party* party = nullptr;
   std::function<void(const char*)> fault;
   std::set<std::shared_ptr<TcpStream>> streams;
+  std::deque<std::weak_ptr<TcpStream>> closing;  // ended, in that order
   std::array<char, kReadAtOnce> buffer{};
+  bool turnDue = false;
   bool over = false;
 };
 
@@ -81,10 +98,16 @@
     asio::co_spawn(of_->executor, writing(shared_from_this()), asio::detached);
   }
   std::size_t unsent() const override { return waiting_.size(); }
+  bool unread() const override {
+    Error error;
+    return socket_.is_open() && socket_.available(error) > 0 && !error;
+  }
+  bool open() const { return socket_.is_open(); }
   void end() override {
     if (ended_) return;
     ended_ = true;
     if (!stands_ || !socket_.is_open()) return close();
+    of_->closing.push_back(weak_from_this());
     asio::co_spawn(of_->executor, lingering(shared_from_this()), asio::detached);
   }
   void cut() override {
@@ -103,7 +126,7 @@
     }
     self->start();
     of->guarded([&] { of->party->up(of->clock->now(), *self); });
-    of->turn();
+    Streams::State::turnSoon(of);
     if (!self->waiting_.empty() && !self->ended_) {
       asio::co_spawn(of->executor, writing(self), asio::detached);
     }
@@ -115,16 +138,18 @@
       Error error;
       co_await self->socket_.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
       if (self->ended_ || of->over) co_return;
-      std::size_t got = 0;
-      if (!error) got = self->socket_.read_some(asio::buffer(of->buffer), error);
-      if (error == asio::error::would_block) continue;
-      if (error) {
+      for (int reads = 0; reads < kReadsInARow && !error && !self->ended_ && !of->over; ++reads) {
+        const std::size_t got = self->socket_.read_some(asio::buffer(of->buffer), error);
+        if (!error) of->guarded([&] { of->party->read(of->clock->now(), *self, {of->buffer.data(), got}); });
+      }
+      if (self->ended_ || of->over) break;
+      if (error && error != asio::error::would_block) {
         self->tellDown(error);
-        co_return;
+        break;
       }
-      of->guarded([&] { of->party->read(of->clock->now(), *self, {of->buffer.data(), got}); });
-      of->turn();
+      Streams::State::turnSoon(of);
     }
+    if (!of->over) Streams::State::turnSoon(of);
   }
 
   void start() {
@@ -181,7 +206,7 @@
     const auto keep = shared_from_this();
     of_->guarded([&] { of_->party->down(of_->clock->now(), *this, how); });
     close();
-    of_->turn();
+    Streams::State::turnSoon(of_);
   }
 
   void close() {
@@ -199,13 +224,25 @@
   bool ended_ = false;
 };
 
+bool Streams::State::makeRoom() {
+  while (!closing.empty()) {
+    const auto oldest = closing.front().lock();
+    closing.pop_front();
+    if (oldest == nullptr || !oldest->open()) continue;
+    oldest->cut();
+    return true;
+  }
+  return false;
+}
+
 namespace {
 
 template <typename State>
 asio::awaitable<void> accepting(std::shared_ptr<State> at) {
   while (!at->over && at->acceptor.is_open()) {
     Error error;
-    if (at->streams.size() >= at->most) {
+    // The last one is for the party's own dialling. Who is only being closed makes room for who comes.
+    if (at->streams.size() + 1 >= at->most && !at->makeRoom()) {
       at->room.expires_after(std::chrono::milliseconds(50));
       co_await at->room.async_wait(asio::redirect_error(asio::use_awaitable, error));
       continue;
@@ -214,6 +251,7 @@
     if (at->over || !at->acceptor.is_open()) break;
     if (error) {
       // No descriptor left, or the caller is gone again: nothing to do but wait.
+      at->makeRoom();
       at->room.expires_after(std::chrono::milliseconds(10));
       co_await at->room.async_wait(asio::redirect_error(asio::use_awaitable, error));
       continue;
@@ -231,7 +269,7 @@
   while (!at->over) {
     co_await at->alarm->rung();
     if (at->over) break;
-    at->turn();
+    State::turnSoon(at);
   }
 }
 
@@ -272,10 +310,15 @@
   if (state_->acceptor.is_open()) asio::co_spawn(state_->executor, accepting(state_), asio::detached);
 }
 
-void Streams::nudge() { state_->alarm->set(state_->clock->now()); }
+void Streams::nudge() { State::turnSoon(state_); }
+
+void Streams::deafen() {
+  Error ignored;
+  state_->acceptor.close(ignored);
+}
 
 Stream* Streams::dial(iax2::Address to) {
-  if (state_->over || state_->streams.size() >= state_->most) return nullptr;
+  if (state_->over || (state_->full() && !state_->makeRoom())) return nullptr;
   tcp::socket socket(state_->executor);
   Error error;
   socket.open(tcp::v4(), error);
--- a/src/net/streams.hpp
+++ b/src/net/streams.hpp
@@ -15,8 +15,8 @@
 
 class Streams final : public Dialler {
  public:
-  /// `clock` must outlive it. `most`: connections held at once; at the bound those that come wait in the system's
-  /// queue and nothing is dialled.
+  /// `clock` must outlive it. `most`: connections held at once. At the bound those that are only being closed go first;
+  /// then those that come wait in the system's queue, one earlier than the party's own dialling, which gets none.
   Streams(boost::asio::any_io_executor executor, Clock& clock, std::size_t most);
   ~Streams() override;
 
@@ -26,6 +26,8 @@
   void attend(Party& party, std::function<void(const char*)> fault);
   /// After something was changed in the party from outside a turn: it gets one now.
   void nudge();
+  /// Nobody is accepted any more.
+  void deafen();
 
   Stream* dial(iax2::Address to) override;
   std::size_t held() const;
--- a/src/party.hpp
+++ b/src/party.hpp
@@ -22,6 +22,8 @@
   virtual void send(std::string_view bytes) = 0;
   /// Bytes that wait.
   virtual std::size_t unsent() const = 0;
+  /// Something came that the party was not told of yet.
+  virtual bool unread() const { return false; }
   /// Closes once what was sent has gone out and been taken, within bounds. Nothing more is told of it.
   virtual void end() = 0;
   /// Closes at once. Nothing more is told of it.
--- a/src/platform/bulletin.cpp
+++ b/src/platform/bulletin.cpp
@@ -9,8 +9,8 @@
 
 constexpr std::size_t kHead = 4 + 8 + 1;
 constexpr std::size_t kRecord = 27;
-// Some thousand exchanges; a length above it is no length.
-constexpr std::size_t kLongestFrame = 64 * 1024;
+// A whole list of all exchanges that a record's cell can tell apart; a length above it is no length.
+constexpr std::size_t kLongestFrame = kHead - 4 + kRecord * 65536;
 
 std::uint64_t number(std::string_view bytes) {
   std::uint64_t value = 0;
--- a/src/platform/callers.cpp
+++ b/src/platform/callers.cpp
@@ -8,10 +8,11 @@
 namespace thistlefold::platform {
 namespace {
 
-// Share of the descriptors; exchanges have 35%, the rest is for the listener, the bulletin, logs and sockets being closed.
+// Share of the connections; exchanges have 35%, the rest is for the bulletin and for connections that are being closed.
 constexpr double kShareOfCallers = 0.5;
-// A usual caller speaks as soon as it has connected; the platform wants silent ones closed within three seconds.
-constexpr Span kSpeakWithin = Span::ms(2000);
+// The platform wants whoever says nothing usable told so or closed within three seconds of connecting. Until shortly before
+// that a set-up may come in pieces.
+constexpr Span kSpeakWithin = Span::ms(2700);
 // In this time a caller that has connected is read, also in a flood.
 constexpr Span kJustNow = Span::ms(100);
 // Callers close after four seconds without a call; who keeps a connection for good is closed after this.
@@ -33,18 +34,25 @@
 
 void Softswitch::came(Instant now, Stream& stream) {
   now_ = now;
-  const auto bound = static_cast<std::size_t>(kShareOfCallers * deployment_.descriptors);
+  const auto bound = static_cast<std::size_t>(kShareOfCallers * deployment_.connections);
   if (callers_.size() >= bound) {
-    // Who carries no set-up makes room: first the mute, then who asked and stays, then who came or spoke only just now,
-    // whose set-up may be on its way, last who had a call stand; the longest silent first. Where all carry one the new
-    // one goes.
+    // Who carries no set-up makes room: first the mute, then who asked and stays, then who came or spoke only just now or
+    // is halfway through a message, whose set-up may be on its way, last who had a call stand; the longest silent first. A
+    // set-up that lies unread is taken already. Where all carry one the new one goes.
     const auto rank = [now](const CallerSide& side) {
-      return std::pair(side.trusted ? 3 : now - side.spoke < kJustNow ? 2 : side.proven ? 1 : 0, side.spoke);
+      const bool coming = now - side.spoke < kJustNow || side.lines.broken();
+      return std::pair(side.trusted ? 3 : coming ? 2 : side.proven ? 1 : 0, side.spoke);
     };
-    CallerSide* least = nullptr;
+    std::vector<CallerSide*> idle;
     for (const auto& side : callers_) {
-      if (side->open > 0) continue;
-      if (least == nullptr || rank(*side) < rank(*least)) least = side.get();
+      if (side->open == 0) idle.push_back(side.get());
+    }
+    CallerSide* least = nullptr;
+    while (least == nullptr && !idle.empty()) {
+      const auto next = std::min_element(idle.begin(), idle.end(),
+                                         [&](const CallerSide* a, const CallerSide* b) { return rank(*a) < rank(*b); });
+      if (!(*next)->stream->unread()) least = *next;
+      idle.erase(next);
     }
     ++counts_.overBound;
     if (least == nullptr) return stream.cut();
@@ -241,8 +249,9 @@
   std::string().swap(call.description);
 }
 
-/// Where this side closes, each set-up that is open on it gets its final answer first. `atOnce`: with none open nothing must
-/// still go out, so its descriptor is free for the next at once.
+/// Where this side closes, each set-up that is open on it gets its final answer first. `atOnce`: where nothing must still go
+/// out, its descriptor is free for the next at once. A caller that closes its own direction alone is taken for gone like one
+/// that closes both: the platform's callers give up what is open by closing, and from here the two look the same.
 void Softswitch::closeCaller(CallerSide& side, bool atOnce) {
   const bool owes = side.open > 0;
   for (auto& [id, call] : calls_) {
@@ -254,7 +263,9 @@
     call->caller = nullptr;  // a standing call belongs to no connection
   }
   if (side.stream != nullptr) {
-    atOnce && !owes ? side.stream->cut() : side.stream->end();
+    // A close with something unread is a reset, and takes along what is still on its way to the caller.
+    const bool clean = !owes && side.stream->unsent() == 0 && !side.stream->unread();
+    atOnce && clean ? side.stream->cut() : side.stream->end();
     side.stream = nullptr;
   }
   const auto it = std::find_if(callers_.begin(), callers_.end(), [&](const auto& one) { return one.get() == &side; });
@@ -287,7 +298,7 @@
     const bool mute = !side.proven && now_ - side.since > kSpeakWithin;
     const bool stuck = side.brokenSince != Instant::never() && now_ - side.brokenSince > kSpeakWithin;
     const bool idle = side.open == 0 && now_ - side.spoke > kIdleCaller;
-    if (mute || stuck || idle) closeCaller(side, true);
+    if ((mute || stuck || idle) && !side.stream->unread()) closeCaller(side, true);
   }
   std::erase_if(overUnknown_, [&](const Over& one) { return now_ - one.at > kRememberOver; });
   if (!owedToCallers_.empty()) {
--- a/src/platform/deployment.cpp
+++ b/src/platform/deployment.cpp
@@ -12,6 +12,9 @@
 
 using namespace wire;
 
+// Beside connections: standard streams, the listener, the poller, timers, signals, the configuration while it is read.
+constexpr int kOtherDescriptors = 16;
+
 iax2::Address address(const Value& fields, const char* field) {
   const auto read = iax2::parseAddress(name(fields, field));
   if (!read) wrong(field, "an address and a port are wanted, as in 127.0.0.1:5070");
@@ -35,7 +38,7 @@
   const auto seed = readHex(name(read, "seed", "0"));
   if (!seed) wrong("seed", "hex digits are wanted");
   out.seed = *seed;
-  out.descriptors = std::clamp(integer(object(read, "limits"), "sockets", 256), 64, 65536);
+  out.connections = std::clamp(integer(object(read, "limits"), "sockets", 256), 64, 65536) - kOtherDescriptors;
   out.memory = static_cast<std::size_t>(std::clamp(integer(object(read, "limits"), "memory_mb", 32), 8, 65536)) << 20;
   out.known = readKnown(object(read, "known"));
   const Value& settings = object(read, "settings");
--- a/src/platform/deployment.hpp
+++ b/src/platform/deployment.hpp
@@ -18,7 +18,7 @@
   iax2::Address listen;
   iax2::Address bulletin;
   std::uint64_t seed = 0;
-  int descriptors = 256;
+  int connections = 240;  // at once, of any kind; what the descriptors leave
   std::size_t memory = 32 << 20;  // bytes
   std::vector<BulletinEvent> known;
   OfficeData data;
--- a/src/platform/exchanges.cpp
+++ b/src/platform/exchanges.cpp
@@ -11,7 +11,7 @@
 // Connections to one exchange: one a set-up, so that a spoilt or silent one takes no other set-up with it. At the
 // bound set-ups share the one with the fewest.
 constexpr std::size_t kSidesOfPeer = 12;
-// Share of the descriptors, over all exchanges; callers have half.
+// Share of the connections, over all exchanges; callers have half.
 constexpr double kShareOfTrunks = 0.35;
 // A connection beyond the spare ones on which nothing came for this long is closed.
 constexpr Span kIdleTrunk = Span::ms(10000);
@@ -27,6 +27,10 @@
 constexpr Span kQuiet = Span::ms(1500);
 constexpr Span kTryEvery = Span::ms(800);
 constexpr Span kVanished = Span::ms(5000);
+// A release may be lost with the connection it was written to. Where that ends within this time it is written again on
+// another; the longest way there and back, and a few times more. So many of one connection are remembered.
+constexpr Span kToldAgain = Span::ms(1000);
+constexpr std::size_t kToldOfSide = 64;
 
 }  // namespace
 
@@ -39,8 +43,27 @@
   if (!anyUp) peer.refusedSince = std::min(peer.refusedSince, now_);
 }
 
+/// An exchange without any connection is owed one: whoever holds most gives an idle one.
+bool Softswitch::makeRoomFor(const Peer& peer) {
+  if (!peer.sides.empty()) return false;
+  Peer* most = nullptr;
+  TrunkSide* spare = nullptr;
+  for (const auto& [id, listed] : roster_.all()) {
+    auto& other = static_cast<Peer&>(*listed);
+    if (other.sides.size() < 2 || (most != nullptr && other.sides.size() <= most->sides.size())) continue;
+    const auto idle = std::find_if(other.sides.begin(), other.sides.end(),
+                                   [](const auto& side) { return side->ringing.empty() && !side->stream->unread(); });
+    if (idle == other.sides.end()) continue;
+    most = &other;
+    spare = idle->get();
+  }
+  if (spare == nullptr) return false;
+  lose(*spare, Ending::unreachable);
+  return true;
+}
+
 TrunkSide* Softswitch::dial(Peer& peer) {
-  if (static_cast<double>(trunkCount_) >= kShareOfTrunks * deployment_.descriptors) return nullptr;
+  if (static_cast<double>(trunkCount_) >= kShareOfTrunks * deployment_.connections && !makeRoomFor(peer)) return nullptr;
   Stream* stream = dialler_->dial(peer.address);
   if (stream == nullptr) return nullptr;
   ++counts_.dialled;
@@ -57,9 +80,11 @@
 
 // The connection for a set-up: one without a set-up that spoke last, else a new one, else the one with the fewest.
 TrunkSide* Softswitch::sideFor(Peer& peer) {
+  if (peer.address == iax2::Address{}) return nullptr;  // another took its place
   TrunkSide* best = nullptr;
   for (const auto& side : peer.sides) {
-    if (!side->up || side->doubtful || !side->ringing.empty()) continue;
+    // Where output waits nobody reads, and a set-up would go out at an instant that nobody chose.
+    if (!side->up || side->doubtful || !side->ringing.empty() || side->stream->unsent() > 0) continue;
     if (best == nullptr || side->heard > best->heard) best = side.get();
   }
   if (best != nullptr) return best;
@@ -93,9 +118,10 @@
   call.peer = &peer;
   call.giveUp = std::min(now_ + giveUpAfter, call.timerLimit);
   std::erase_if(peer.owed, [&](const auto& one) { return one.first == call.id; });
+  for (const auto& side : peer.sides) std::erase_if(side->told, [&](const Told& one) { return one.id == call.id; });
   TrunkSide* side = sideFor(peer);
   if (side == nullptr) {
-    // No descriptor is left and no connection stands: it never left.
+    // No descriptor is left and no connection stands, or nobody is there any more: it never left.
     ++counts_.overBound;
     events_.push_back([&call, &peer](Controller& controller) {
       controller.ended(call, peer, Ending::moot, Reason::none, false, Span::none(), false);
@@ -117,10 +143,30 @@
       if (side == nullptr || std::pair(!one->doubtful, one->heard) > std::pair(!side->doubtful, side->heard)) side = one.get();
     }
   }
-  if (side != nullptr) return side->stream->send(writeMessage(Kind::release, id, {}, cause));
+  if (side != nullptr) return writeTo(*side, id, cause);
   if (peer.owed.size() < kOver) peer.owed.emplace_back(id, cause);
 }
 
+void Softswitch::writeTo(TrunkSide& side, const std::string& id, int cause) {
+  side.stream->send(writeMessage(Kind::release, id, {}, cause));
+  if (side.told.size() == kToldOfSide) side.told.erase(side.told.begin());
+  side.told.push_back({id, cause, now_});
+}
+
+/// What waits for a connection and must not go out any more is the module's again: since it was sent its exchange was told of
+/// as leaving, as another process, or at no address.
+void Softswitch::takeBack(TrunkSide& side) {
+  const Peer& peer = *side.peer;
+  const bool leaving = peer.readiness != Readiness::ready || peer.address == iax2::Address{};
+  const auto waiting = side.ringing;
+  for (Call* call : waiting) {
+    if (!leaving && call->sentAt >= peer.anewAt) continue;
+    ++counts_.takenBack;
+    std::erase(side.ringing, call);
+    ended(*call, Ending::moot);
+  }
+}
+
 void Softswitch::feedback(Peer& peer, const Message& message) {
   const auto load = message.field("load");
   if (!load) return;
@@ -155,6 +201,7 @@
   side.peer->untaken = 0;
   side.doubtful = false;
   feedback(*side.peer, *message);
+  if (message->kind == Kind::released) std::erase_if(side.told, [&](const Told& one) { return one.id == message->id; });
   if (message->kind != Kind::answer && message->kind != Kind::release) return;
   const auto it = calls_.find(message->id);
   Call* call = it == calls_.end() ? nullptr : it->second.get();
@@ -252,6 +299,9 @@
   side.stream = nullptr;
   const auto ringing = std::move(side.ringing);
   side.ringing.clear();
+  for (const Told& one : side.told) {
+    if (now_ - one.at < kToldAgain) release(peer, nullptr, one.id, one.cause);
+  }
   for (Call* call : ringing) {
     if (wasUp) release(peer, nullptr, call->id, kNormal);
     ended(*call, wasUp ? Ending::reset : unsent);
@@ -288,6 +338,7 @@
     if (peer.own) continue;
     for (std::size_t i = peer.sides.size(); i-- > 0;) {
       TrunkSide& side = *peer.sides[i];
+      if (!side.up) takeBack(side);
       if (!side.up && now_ - side.dialled > deployment_.connectWithin) {
         notUp(peer, false);
         lose(side, Ending::unreachable);
--- a/src/platform/sides.hpp
+++ b/src/platform/sides.hpp
@@ -41,6 +41,13 @@
   std::size_t open = 0;  // set-ups without a final answer
 };
 
+/// A release that was written to an exchange.
+struct Told {
+  std::string id;
+  int cause;
+  Instant at;
+};
+
 struct TrunkSide : Side {
   Peer* peer = nullptr;
   Lines lines;
@@ -48,6 +55,7 @@
   bool doubtful = false;
   Instant dialled, heard, spokenTo;
   std::vector<Call*> ringing;
+  std::vector<Told> told;  // releases written here that were not heard for sure yet
 };
 
 struct Peer : wire::ListedExchange {
@@ -56,6 +64,7 @@
   std::vector<std::pair<std::string, int>> owed;  // releases to write on the next connection
   std::vector<Call*> standing;
   Instant nextDial = Instant::longAgo();
+  Instant anewAt = Instant::longAgo();  // told of another process there
   Span redial = kRedialFirst;
   Instant refusedSince = Instant::never();  // none stands and connections are refused
   Instant alive = Instant::longAgo();       // it said something, or took a connection
--- a/src/platform/softswitch.cpp
+++ b/src/platform/softswitch.cpp
@@ -9,9 +9,12 @@
 
 // What may wait to go out to one caller.
 constexpr std::size_t kUnsent = 64 * 1024;
-// The bulletin sends an empty frame each second.
+// The bulletin sends an empty frame each second. What it would have told counts as told four seconds after it stopped and two
+// after a break; within that each office asks again at an instant of its own, as all of them lose it at once.
 constexpr Span kBulletinSilent = Span::ms(1600);
+constexpr Span kSpread = Span::ms(400);
 constexpr Span kRedialBulletin = Span::ms(100);
+constexpr Span kRedialBulletinLast = Span::ms(300);
 // How often connections are looked after.
 constexpr Span kKeeping = Span::ms(20);
 // A planned restart. SIGKILL comes no sooner than the longest limit, three seconds at most, and 0.7 s more after SIGTERM;
@@ -26,10 +29,11 @@
 struct Softswitch::Bulletin : Side {
   Frames frames;
   bool lost = false;  // since it was told of
-  Instant heard;
   std::uint64_t last = 0;
   std::optional<std::uint64_t> gapAfter;  // the last event when one was found missing
   Instant nextDial = Instant::longAgo();
+  Span redial = kRedialBulletin;
+  Instant silentAt = Instant::never();
 };
 
 Softswitch::Softswitch(Deployment deployment, Instant now, Dialler& dialler, const OpenController& open,
@@ -40,8 +44,10 @@
       controller_(open(deployment_.data, deployment_.seed)),
       roster_(deployment_.here, [] { return std::make_unique<Peer>(); }),
       bulletin_(std::make_unique<Bulletin>()),
+      chance_(static_cast<std::ranlux24_base::result_type>(deployment_.seed ^ (deployment_.seed >> 24))),
       now_(now) {
   bulletin_->what = Side::What::bulletin;
+  askBulletinWithin(kSpread * 0.5);
   apply(deployment_.known);
 }
 
@@ -55,7 +61,8 @@
   if (side.what == Side::What::bulletin) {
     if (bulletin_->lost) tell_("bulletin " + iax2::text(deployment_.bulletin) + ": connected again");
     bulletin_->lost = false;
-    bulletin_->heard = now;
+    bulletin_->redial = kRedialBulletin;
+    bulletin_->silentAt = now + kBulletinSilent + kSpread * chance();
     ++counts_.asked;
     return stream.send(askAfter(bulletin_->last));
   }
@@ -67,8 +74,8 @@
   peer.refusedSince = Instant::never();
   peer.alive = now;
   peer.untaken = 0;
-  for (const auto& [id, cause] : peer.owed) stream.send(writeMessage(Kind::release, id, {}, cause));
-  peer.owed.clear();
+  for (const auto& [id, cause] : std::exchange(peer.owed, {})) writeTo(trunk, id, cause);
+  takeBack(trunk);
   const auto ringing = trunk.ringing;
   for (Call* call : ringing) write(trunk, *call);
 }
@@ -115,7 +122,8 @@
   if (side.what == Side::What::bulletin) {
     if (!bulletin_->lost) tell_("bulletin " + iax2::text(deployment_.bulletin) + ": no connection; asked until there is one");
     bulletin_->lost = true;
-    bulletin_->nextDial = now + kRedialBulletin;
+    askBulletinWithin(bulletin_->redial * 2.0);
+    bulletin_->redial = std::min(bulletin_->redial * 2.0, kRedialBulletinLast);
     return;
   }
   if (side.what == Side::What::caller) return closeCaller(static_cast<CallerSide&>(side));
@@ -190,10 +198,13 @@
     std::vector<wire::Listing> lines;
     for (const Place& place : event.places) {
       lines.push_back(place.listing);
+      // One that has gone is where it was, or nowhere if another took its place: it must not be looked for there again.
+      if (place.listing.readiness == Readiness::gone && roster_.known(place.listing.id) != nullptr) continue;
       auto& peer = static_cast<Peer&>(roster_.exchange(place.listing.id));
       const bool anew = place.listing.started > peer.started || !(peer.address == place.address);
       peer.address = place.address;
       if (anew) {
+        peer.anewAt = now_;
         peer.nextDial = Instant::longAgo();
         peer.redial = kRedialFirst;
         // Its processor is another now; what stood on the one before is over.
@@ -214,27 +225,37 @@
   Bulletin& from = *bulletin_;
   from.frames.add(bytes);
   while (const auto event = from.frames.next()) {
-    from.heard = now_;
-    if (event->places.empty() && !event->whole) continue;
-    // What lies between was lost on the way; once asked for in vain it is not there.
-    if (!event->whole && event->number > from.last + 1 && from.gapAfter != from.last) {
+    from.silentAt = now_ + kBulletinSilent + kSpread * chance();
+    const bool news = event->whole || !event->places.empty();
+    // What lies between was lost on the way; an empty frame tells the last number too. Once asked for in vain it is not there.
+    if (!event->whole && event->number > from.last + (news ? 1 : 0) && from.gapAfter != from.last) {
       from.gapAfter = from.last;
       tell_("bulletin: an event is missing; asked again");
-      return askBulletin();
+      return askBulletinWithin(kSpread * 0.5);
     }
-    apply({*event});
+    if (news) apply({*event});
   }
   if (!from.frames.readable()) {
     tell_("bulletin: what came is no frame; asked again");
-    askBulletin();
+    askBulletinWithin(kSpread * 0.5);
   }
 }
 
+double Softswitch::chance() { return std::generate_canonical<double, 24>(chance_); }
+
+/// Not at once, but at an instant by chance before that is over.
+void Softswitch::askBulletinWithin(Span most) {
+  Bulletin& of = *bulletin_;
+  if (of.stream != nullptr) std::exchange(of.stream, nullptr)->cut();
+  of.frames = Frames();
+  of.nextDial = now_ + most * chance();
+}
+
 void Softswitch::askBulletin() {
   Bulletin& of = *bulletin_;
   if (of.stream != nullptr) of.stream->cut();
   of.frames = Frames();
-  of.heard = now_;
+  of.silentAt = now_ + kBulletinSilent + kSpread * chance();
   of.stream = dialler_->dial(deployment_.bulletin);
   of.nextDial = now_ + kRedialBulletin;
   if (of.stream != nullptr) of.stream->kept = static_cast<Side*>(&of);
@@ -244,7 +265,8 @@
   now_ = now;
   deployment_.bulletin = deployment.bulletin;
   apply(deployment.known);
-  askBulletin();
+  bulletin_->redial = kRedialBulletin;
+  askBulletinWithin(kSpread * 0.5);
 }
 
 // ---- What is due ----------------------------------------------------------------------------------------------------
@@ -267,7 +289,7 @@
   }
   if (now - keptAt_ >= kKeeping) {
     keptAt_ = now;
-    if (bulletin_->stream == nullptr ? bulletin_->nextDial <= now_ : now_ - bulletin_->heard > kBulletinSilent) askBulletin();
+    if (bulletin_->stream == nullptr ? bulletin_->nextDial <= now_ : bulletin_->silentAt <= now_) askBulletin();
     keepSides();
     keepCallers();
   }
@@ -289,7 +311,21 @@
   leaveAt_ = now + std::min(longest, kLongestLeave) + kLeaveSpare;
 }
 
-bool Softswitch::stopped(Instant now) const { return now >= leaveAt_ && openCalls_ == 0; }
+bool Softswitch::stopped(Instant now) const {
+  const auto unread = [](const auto& side) { return side->stream->unread(); };
+  return now >= leaveAt_ && openCalls_ == 0 && std::none_of(callers_.begin(), callers_.end(), unread);
+}
+
+void Softswitch::part(Instant now) {
+  now_ = now;
+  while (!callers_.empty()) closeCaller(*callers_.back());
+  for (const auto& [id, listed] : roster_.all()) {
+    auto& peer = static_cast<Peer&>(*listed);
+    for (const auto& side : peer.sides) side->told.clear();  // still to go out
+    while (!peer.sides.empty()) lose(*peer.sides.back(), Ending::unreachable);
+  }
+  if (bulletin_->stream != nullptr) std::exchange(bulletin_->stream, nullptr)->cut();
+}
 
 std::string Softswitch::account() const {
   std::string out = "callers=" + std::to_string(callers_.size()) + " trunks=" + std::to_string(trunkCount_) +
@@ -300,7 +336,7 @@
                     " cut=" + std::to_string(counts_.cut) + " unusable=" + std::to_string(counts_.unusable) +
                     " spoilt=" + std::to_string(counts_.spoilt) + " dialled=" + std::to_string(counts_.dialled) +
                     " not-up=" + std::to_string(counts_.notUp) + " over-bound=" + std::to_string(counts_.overBound) +
-                    " asked=" + std::to_string(counts_.asked) + " last-event=" + std::to_string(bulletin_->last) +
+                    " taken-back=" + std::to_string(counts_.takenBack) + " asked=" + std::to_string(counts_.asked) + " last-event=" + std::to_string(bulletin_->last) +
                     " listed=" + std::to_string(roster_.all().size());
   for (const auto& [id, listed] : roster_.all()) {
     const auto& peer = static_cast<const Peer&>(*listed);
--- a/src/platform/softswitch.hpp
+++ b/src/platform/softswitch.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <random>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -31,6 +32,7 @@
   std::uint64_t spoilt = 0;     // streams from exchanges that can't be read any more
   std::uint64_t dialled = 0, notUp = 0;
   std::uint64_t overBound = 0;  // set-ups turned away at a bound of this office
+  std::uint64_t takenBack = 0;  // INVITEs that waited for a connection until their exchange was told of as leaving or anew
   std::uint64_t asked = 0;      // connections to the bulletin
 };
 
@@ -56,6 +58,8 @@
   void stop(Instant now);
   /// Nothing is open any more and nothing usual comes any more.
   bool stopped(Instant now) const;
+  /// After that: each connection is closed, once what was sent last has gone out.
+  void part(Instant now);
 
   const Counts& counts() const { return counts_; }
   /// What this softswitch believes of itself and of each exchange, in one line.
@@ -90,6 +94,9 @@
   void release(Peer& peer, TrunkSide* side, const std::string& id, int cause);
   TrunkSide* sideFor(Peer& peer);
   TrunkSide* dial(Peer& peer);
+  bool makeRoomFor(const Peer& peer);
+  void writeTo(TrunkSide& side, const std::string& id, int cause);
+  void takeBack(TrunkSide& side);
   void write(TrunkSide& side, Call& call);
   void leave(Peer& peer);
   void notUp(Peer& peer, bool refused);
@@ -100,6 +107,8 @@
   void apply(const std::vector<BulletinEvent>& events);
   void fromBulletin(std::string_view bytes);
   void askBulletin();
+  void askBulletinWithin(Span most);
+  double chance();
   void keepSides();
   void keepCallers();
   void round();
@@ -125,6 +134,7 @@
   std::vector<Over> overUnknown_;  // released by an exchange before a caller named them
   std::vector<Over> owedToCallers_;
   Counts counts_;
+  std::ranlux24_base chance_;
   std::size_t openCalls_ = 0;
   std::size_t descriptions_ = 0;  // bytes of those of open set-ups
   std::size_t trunkCount_ = 0;
