--- a/src/platform/softswitch.cpp
+++ b/src/platform/softswitch.cpp
@@ -287,7 +287,7 @@
     }
     ended(*call, side.up ? Ending::timedOut : Ending::unreachable);
   }
-  if (now - keptAt_ >= kKeeping) {
+  if (!parted_ && now - keptAt_ >= kKeeping) {
     keptAt_ = now;
     if (bulletin_->stream == nullptr ? bulletin_->nextDial <= now_ : bulletin_->silentAt <= now_) askBulletin();
     keepSides();
@@ -318,6 +318,7 @@
 
 void Softswitch::part(Instant now) {
   now_ = now;
+  parted_ = true;
   while (!callers_.empty()) closeCaller(*callers_.back());
   for (const auto& [id, listed] : roster_.all()) {
     auto& peer = static_cast<Peer&>(*listed);
--- a/src/platform/softswitch.hpp
+++ b/src/platform/softswitch.hpp
@@ -141,6 +141,7 @@
   Instant now_;
   Instant wakeAt_ = Instant::longAgo();
   Instant keptAt_ = Instant::longAgo();
+  bool parted_ = false;
   Instant stoppingSince_ = Instant::never(), leaveAt_ = Instant::never();
 };
 
