--- a/src/platform/softswitch.cpp
+++ b/src/platform/softswitch.cpp
@@ -298,7 +298,7 @@
 }
 
 Instant Softswitch::nextTurn() const {
-  Instant next = std::min(wakeAt_, keptAt_ + kKeeping);
+  Instant next = parted_ ? wakeAt_ : std::min(wakeAt_, keptAt_ + kKeeping);
   for (const Call* call : ringing_) next = std::min(next, call->giveUp);
   return next;
 }
--- a/tests/program/platform.cpp
+++ b/tests/program/platform.cpp
@@ -545,6 +545,63 @@
   CHECK(bench.office.stopped(bench.now));
 }
 
+TEST_CASE("platform: an INVITE that waits for its connection is not written once its exchange drains or its caller has left") {
+  for (const bool drains : {false, true}) {
+    CAPTURE(drains);
+    Bench bench;
+    Wire& first = bench.caller();
+    bench.setUp(first, kA);  // on the connection that stands
+    Wire& caller = bench.caller();
+    bench.setUp(caller, kB);
+    REQUIRE(bench.invited(kB) == nullptr);  // it waits for another
+    Wire* late = bench.dialled(kFirst).back();
+    if (drains) {
+      bench.office.read(bench.now, *bench.dialled(kBulletin).front(), frame(8, 2, record(2, kFirst, 1, 1)));
+    } else {
+      bench.office.down(bench.now, caller, StreamEnd::closed);
+    }
+    bench.pass(1);
+    bench.raise(*late);
+    bench.pass(50);
+    CHECK(late->sent(Kind::setup).empty());
+    CHECK(caller.sent(Kind::release).size() == (drains ? 1 : 0));  // it never left, and is the module's again
+  }
+}
+
+TEST_CASE("platform: a later number in an empty frame tells that an event is missing, which is asked for once") {
+  Bench bench;
+  Wire* watch = bench.dialled(kBulletin).front();
+  bench.office.read(bench.now, *watch, frame(7, 0, ""));
+  CHECK(!watch->closed);
+  bench.office.read(bench.now, *watch, frame(8, 0, ""));
+  CHECK(watch->closed);
+  bench.pass(250);
+  watch = bench.dialled(kBulletin).front();
+  bench.office.up(bench.now, *watch);
+  CHECK(watch->out == askAfter(7));
+  bench.office.read(bench.now, *watch, frame(8, 0, ""));
+  CHECK(!watch->closed);
+}
+
+TEST_CASE("platform: a release that may be lost with its connection goes out on another, unless it was heard") {
+  for (const bool heard : {false, true}) {
+    CAPTURE(heard);
+    Bench bench;
+    Wire& caller = bench.caller();
+    Wire& at = bench.stand(caller, kA);
+    bench.tell(caller, R"({"type":"release","id":")" + kA + R"(","fields":{},"cause":16})");
+    REQUIRE(at.sent(Kind::release).size() == 1);
+    if (heard) bench.tell(at, R"({"type":"released","id":")" + kA + R"(","fields":{}})");
+    at.closed = true;
+    bench.office.down(bench.now, at, StreamEnd::reset);
+    bench.pass(100);
+    bench.raiseAll();
+    std::size_t again = 0;
+    for (Wire* wire : bench.dialled(kFirst)) again += wire->sent(Kind::release).size();
+    CHECK(again == (heard ? 0 : 1));
+  }
+}
+
 TEST_CASE("platform: a configuration that can't be read names what was wanted") {
   CHECK_THROWS_WITH(readDeployment("{"), "Missing a name for object member. at offset 1");
   CHECK_THROWS_WITH(readDeployment(R"({"listen":"here"})"), "field listen: an address and a port are wanted, as in 127.0.0.1:5070");
