Streams: a closed connection that has gone is forgotten, not remembered for ever

Seen on reading the change again: end() put each connection into `closing`, which only makeRoom() emptied, at the bound alone. Change: end() drops those that have gone. Streams::closing() tells how many are remembered. Measured: the new test ends forty connections and finds two at most remembered; streams and platform tests pass. Its first draft counted before the softswitch had dialled its bulletin, and waits for that now.

--- a/src/net/streams.cpp
+++ b/src/net/streams.cpp
@@ -107,6 +107,8 @@
     if (ended_) return;
     ended_ = true;
     if (!stands_ || !socket_.is_open()) return close();
+    // Who has gone is forgotten, or each connection ever ended would keep its memory.
+    while (!of_->closing.empty() && of_->closing.front().expired()) of_->closing.pop_front();
     of_->closing.push_back(weak_from_this());
     asio::co_spawn(of_->executor, lingering(shared_from_this()), asio::detached);
   }
@@ -331,4 +333,6 @@
 
 std::size_t Streams::held() const { return state_->streams.size(); }
 
+std::size_t Streams::closing() const { return state_->closing.size(); }
+
 }  // namespace thistlefold::net
--- a/src/net/streams.hpp
+++ b/src/net/streams.hpp
@@ -31,6 +31,8 @@
 
   Stream* dial(iax2::Address to) override;
   std::size_t held() const;
+  /// Ended and remembered until they have gone, to make room.
+  std::size_t closing() const;
 
  private:
   friend class TcpStream;
--- a/tests/program/streams.cpp
+++ b/tests/program/streams.cpp
@@ -185,6 +185,20 @@
   CHECK(town.until([&] { return town.heardOf(kOne); }));
 }
 
+TEST_CASE("streams: connections that were closed and have gone are forgotten") {
+  Town town;
+  REQUIRE(town.until([&] { return !town.watches.empty(); }));  // all that the softswitch dials by itself stands
+  const std::size_t before = town.streams.held();
+  for (std::uint64_t i = 1; i <= 40; ++i) {
+    Socket bad = Socket::to(town.port);
+    bad.send("noise\n");
+    REQUIRE(town.until([&] { return town.office.counts().unusable >= i; }));
+    bad.close();
+    REQUIRE(town.until([&] { return town.streams.held() <= before; }));
+  }
+  CHECK(town.streams.closing() <= 2);
+}
+
 TEST_CASE("streams: idle callers fill their share, and a set-up that lies unread is not closed with its connection") {
   Town town(64);
   std::vector<Socket> idle;
