--- a/review/standin/platform.hpp
+++ b/review/standin/platform.hpp
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -423,12 +424,11 @@
     for (const Entry& entry : events.back().entries) {
       static const char* const kStates[] = {"ready", "draining", "gone"};
       record_->line("bulletin, event %zu: s-%08x %s at %s, place %d", events.size(), entry.uid,
-                    kStates[static_cast<int>(entry.state)], addressText(entry.ip, entry.port).c_str(), entry.place);
+                    kStates[static_cast<int>(entry.state)], standin::addressText(entry.ip, entry.port).c_str(), entry.place);
     }
     for (auto& subscriber : subscribers_)
       if (subscriber.connection->open() && subscriber.answered) send(subscriber);
   }
-  std::string addressText(std::uint32_t ip, std::uint16_t port) const { return standin::addressText(ip, port); }
   std::string addressText() const { return standin::addressText(ip, port); }
 
   std::vector<Event> events;
@@ -528,6 +528,7 @@
     pid_ = ::fork();
     if (pid_ < 0) std::exit(kNotRun);
     if (pid_ == 0) {
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // it must not outlive the case, however that ends
       const int log = ::open((folder_ + "/softswitch.log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       ::dup2(log, 1);
       ::dup2(log, 2);
