A call's release reaches a caller whose open connection has only had refusals

Cause: findCallerFor() took only connections on which a call had been answered or named. Evidence: in the record of the case the death is noticed and further set-ups are refused on c2, and the release is written nowhere; the regression test shows the same with an ordinary release of the exchange, without any death.

Change: CallerEvidence (none, set-up, established call) in place of a flag. A connection with a usable set-up qualifies after those that carried a call; pings and unusable messages are no evidence, as docs/platform.md asks.

--- a/src/platform/callers.cpp
+++ b/src/platform/callers.cpp
@@ -46,10 +46,10 @@
     // is rejected.
     const auto rank = [now](const CallerConnection& connection) {
       const bool isActive = now - connection.lastMessageAt < kRecentActivity || connection.reader.hasPartialLine();
-      return std::pair(connection.hadEstablishedCall    ? 3
-                       : isActive                       ? 2
-                       : connection.hasSentValidMessage ? 1
-                                                        : 0,
+      return std::pair(connection.evidence == CallerEvidence::establishedCall ? 3
+                       : isActive                                             ? 2
+                       : connection.hasSentValidMessage                       ? 1
+                                                                              : 0,
                        connection.lastMessageAt);
     };
     std::vector<CallerConnection*> idle;
@@ -164,6 +164,7 @@
     return rejectInvalid(connection, message.id);
   }
   connection.hasSentValidMessage = true;
+  connection.evidence = std::max(connection.evidence, CallerEvidence::setup);
   if (pendingSetups_ >= deployment_.maxPendingSetups || connection.pendingSetups >= kMaxPendingSetupsPerCaller ||
       descriptionBytes_ + message.description.size() > deployment_.memoryBytes / kDescriptionMemoryDivisor ||
       now_ > exitAt_ - kNoNewSetupsBeforeExit) {
@@ -198,7 +199,8 @@
   auto* peer = id ? static_cast<Peer*>(registry_.find(*id)) : nullptr;
   if (const auto existing = calls_.find(message.id); existing != calls_.end()) {
     if (existing->second->state == Call::State::established && existing->second->peer == peer) {
-      connection.hasSentValidMessage = connection.hadEstablishedCall = true;
+      connection.hasSentValidMessage = true;
+      connection.evidence = CallerEvidence::establishedCall;
       if (existing->second->caller == nullptr) existing->second->caller = &connection;
     }
     return;
@@ -206,14 +208,16 @@
   const auto released = std::find_if(unmatchedReleases_.begin(), unmatchedReleases_.end(),
                                      [&](const StoredRelease& release) { return release.id == message.id; });
   if (released != unmatchedReleases_.end()) {
-    connection.hasSentValidMessage = connection.hadEstablishedCall = true;
+    connection.hasSentValidMessage = true;
+    connection.evidence = CallerEvidence::establishedCall;
     connection.stream->send(writeMessage(MessageKind::release, message.id, {}, released->cause));
     unmatchedReleases_.erase(released);
     return;
   }
   if (peer == nullptr || calls_.size() >= 2 * deployment_.maxPendingSetups)
     return rejectInvalid(connection, message.id);
-  connection.hasSentValidMessage = connection.hadEstablishedCall = true;
+  connection.hasSentValidMessage = true;
+  connection.evidence = CallerEvidence::establishedCall;
   auto newCall = std::make_unique<Call>();
   newCall->id = message.id;
   newCall->state = Call::State::established;
@@ -294,14 +298,19 @@
   callers_.erase(it);
 }
 
-// Selects the connection for a call's release: the one that its set-up was received on, otherwise, of the callers that
-// had an established call, the one that sent a message last.
+// Selects the connection for a call's release: the one that its set-up was received on, otherwise, of those with the
+// most evidence of a caller, the one that sent a message last. Connections without a usable set-up, and those that sent
+// an invalid message before they had an established call, are strangers and must not learn of calls.
 CallerConnection* Softswitch::findCallerFor(const Call& call) {
   if (call.caller != nullptr) return call.caller;
   CallerConnection* best = nullptr;
+  const auto rank = [](const CallerConnection& connection) {
+    return std::pair(connection.evidence, connection.lastMessageAt);
+  };
   for (const auto& connection : callers_) {
-    if (!connection->hadEstablishedCall) continue;
-    if (best == nullptr || connection->lastMessageAt > best->lastMessageAt) best = connection.get();
+    if (connection->evidence == CallerEvidence::none) continue;
+    if (connection->evidence == CallerEvidence::setup && connection->invalidMessages > 0) continue;
+    if (best == nullptr || rank(*connection) > rank(*best)) best = connection.get();
   }
   return best;
 }
--- a/src/platform/connections.hpp
+++ b/src/platform/connections.hpp
@@ -35,15 +35,23 @@
   Stream* stream = nullptr;  ///< nullptr: closed, or not opened yet
 };
 
+/// What is known of the client of an incoming connection, least first. A standing call belongs to no connection, so its
+/// release may have to be written on one that never carried it.
+enum class CallerEvidence {
+  none,            ///< no usable set-up yet; a front that only pings, or noise
+  setup,           ///< it sent a usable set-up, whatever became of it
+  establishedCall  ///< a call was answered on it, or it named an established one
+};
+
 /// An incoming connection of a caller.
 struct CallerConnection : Connection {
   LineReader reader;
   /// `partialLineSince`: when the incomplete line that waits was first seen; never if there is none.
   Instant connectedAt, partialLineSince = Instant::never(), lastMessageAt;
   bool hasSentValidMessage = false;
-  bool hadEstablishedCall = false;  ///< a call was answered on it, or it reported an established one
-  int invalidMessages = 0;          ///< received so far
-  std::size_t pendingSetups = 0;    ///< set-ups without a final answer
+  CallerEvidence evidence = CallerEvidence::none;
+  int invalidMessages = 0;        ///< received so far
+  std::size_t pendingSetups = 0;  ///< set-ups without a final answer
 };
 
 /// A release that was written to an exchange.
--- a/src/platform/exchanges.cpp
+++ b/src/platform/exchanges.cpp
@@ -262,7 +262,7 @@
   --pendingSetups_;
   if (call.caller != nullptr) {
     --call.caller->pendingSetups;
-    call.caller->hadEstablishedCall = true;
+    call.caller->evidence = CallerEvidence::establishedCall;
     call.caller->lastMessageAt = now_;
     call.caller->stream->send(writeMessage(MessageKind::answer, call.id, {}, -1, description));
   }
--- a/tests/program/platform.cpp
+++ b/tests/program/platform.cpp
@@ -151,7 +151,7 @@
   Softswitch softswitch;
 };
 
-const std::string kFirstId = "00000000000000aa", kSecondId = "00000000000000bb";
+const std::string kFirstId = "00000000000000aa", kSecondId = "00000000000000bb", kThirdId = "00000000000000cc";
 const iax2::Address kExchangeAddress{0x7f000003, 5000}, kBulletinAddress{0x7f000009, 2379};
 
 std::string encodeFrame(std::uint64_t number, int kind, const std::string& payload) {
@@ -409,6 +409,39 @@
   CHECK(trunk.sent(MessageKind::release).back().id == kSecondId);
 }
 
+// Guards against review/2: callers whose every set-up is refused were never told that an earlier call of theirs was
+// over.
+TEST_CASE("platform: a call's release reaches a caller whose open connection has only had refusals, but no stranger") {
+  for (const bool isStoredFirst : {false, true}) {
+    CAPTURE(isStoredFirst);
+    SoftswitchFixture fixture;
+    FakeStream& first = fixture.acceptCaller();
+    FakeStream& trunk = fixture.establishCall(first, kFirstId);
+    fixture.softswitch.onClosed(fixture.now, first, CloseReason::closed);
+    const auto endCall = [&] {
+      fixture.deliver(trunk, R"({"type":"release","id":")" + kFirstId + R"(","fields":{},"cause":41})");
+    };
+    if (isStoredFirst) endCall();
+    // A front that pings, and a client whose set-up is valid but whose next message is not.
+    FakeStream& front = fixture.acceptCaller();
+    fixture.deliver(front, R"({"type":"ping","id":")" + kSecondId + R"(","fields":{},"cause":0})");
+    FakeStream& stranger = fixture.acceptCaller();
+    fixture.deliver(stranger, R"({"type":"answer","id":")" + kSecondId + R"("})");
+    fixture.sendSetup(stranger, kThirdId, "dest:9;width:1;via:-1");
+    FakeStream& caller = fixture.acceptCaller();
+    fixture.sendSetup(caller, kSecondId, "dest:9;width:1;via:-1");  // nobody is there
+    REQUIRE(caller.sent(MessageKind::release).size() >= 1);
+    CHECK(caller.sent(MessageKind::release).front().id == kSecondId);
+    if (!isStoredFirst) endCall();
+    fixture.advance(50);
+    REQUIRE(caller.sent(MessageKind::release).size() == 2);
+    CHECK(caller.sent(MessageKind::release).back().id == kFirstId);
+    CHECK(caller.sent(MessageKind::release).back().cause == 41);
+    CHECK(front.sent(MessageKind::release).empty());
+    for (const Message& message : stranger.sent(MessageKind::release)) CHECK(message.id != kFirstId);
+  }
+}
+
 TEST_CASE("platform: calls established before a restart are adopted when the caller reports them") {
   SoftswitchFixture fixture;
   FakeStream& caller = fixture.acceptCaller();
