A call named at an exchange that was replaced at its address is released at once

Cause: adoptEstablishedCall() asked only whether the id is known and added the call to an exchange from which retirePeer() had taken the address. Nobody can release a call there: no connection is made, and maintainTrunks() passes over the exchange before the checks that end calls.

Change: Peer::hasProcess() names the state; a call named at an exchange without a process is released at once (cause 41) and not kept.

--- a/src/platform/callers.cpp
+++ b/src/platform/callers.cpp
@@ -218,6 +218,12 @@
     return rejectInvalid(connection, message.id);
   connection.hasSentValidMessage = true;
   connection.evidence = CallerEvidence::establishedCall;
+  if (!peer->hasProcess()) {
+    // The process that the call stood at has ended, so nobody else will ever release it.
+    ++counters_.droppedCalls;
+    connection.stream->send(writeMessage(MessageKind::release, message.id, {}, kCauseTemporaryFailure));
+    return;
+  }
   auto newCall = std::make_unique<Call>();
   newCall->id = message.id;
   newCall->state = Call::State::established;
--- a/src/platform/connections.hpp
+++ b/src/platform/connections.hpp
@@ -75,6 +75,9 @@
 
 /// A listed exchange.
 struct Peer : wire::ListedExchange {
+  /// False once another exchange was listed at its address. Its calls are over then, and nothing may be sent for it.
+  bool hasProcess() const { return !(address == iax2::Address{}); }
+
   iax2::Address address;  ///< default value: unknown, or taken over by another exchange
   std::vector<std::unique_ptr<TrunkConnection>> connections;
   std::vector<std::pair<std::string, int>> pendingReleases;  ///< id and cause, written on the next connection
--- a/src/platform/exchanges.cpp
+++ b/src/platform/exchanges.cpp
@@ -89,7 +89,7 @@
 // Selects the connection for a set-up: of those that carry no set-up the one on which data was received last, otherwise
 // a new one, otherwise the one that carries the fewest set-ups.
 TrunkConnection* Softswitch::selectConnection(Peer& peer) {
-  if (peer.address == iax2::Address{}) return nullptr;  // another exchange has taken over the address
+  if (!peer.hasProcess()) return nullptr;
   TrunkConnection* best = nullptr;
   for (const auto& connection : peer.connections) {
     // If output is queued, the exchange does not read, and the set-up would be sent at an unpredictable time.
@@ -174,7 +174,7 @@
 // draining or gone, was restarted or has lost its address.
 void Softswitch::withdrawInvites(TrunkConnection& connection) {
   const Peer& peer = *connection.peer;
-  const bool hasLeft = peer.readiness != Readiness::ready || peer.address == iax2::Address{};
+  const bool hasLeft = peer.readiness != Readiness::ready || !peer.hasProcess();
   const auto waitingCalls = connection.invitedCalls;
   for (Call* call : waitingCalls) {
     if (!hasLeft && call->sentAt >= peer.restartedAt) continue;
@@ -381,7 +381,7 @@
     }
     if (peer.refusedSince != Instant::never() && now_ - peer.refusedSince > kDeadAfterRefusals)
       dropEstablishedCalls(peer, Instant::never());
-    if (peer.address == iax2::Address{}) continue;
+    if (!peer.hasProcess()) continue;
     const Span silence = now_ - peer.lastAliveAt;
     if (!peer.establishedCalls.empty() && silence > kSilenceBeforeCheck &&
         now_ - peer.livenessCheckedAt > kLivenessCheckInterval) {
--- a/tests/program/platform.cpp
+++ b/tests/program/platform.cpp
@@ -459,6 +459,29 @@
   CHECK(fixture.softswitch.statusLine().find("calls=0 ") != std::string::npos);
 }
 
+// Guards against review/3: calls named at an exchange whose address is taken were held as established for ever.
+TEST_CASE("platform: a call named at an exchange that was replaced at its address is released at once") {
+  SoftswitchFixture fixture;
+  FakeStream& bulletin = *fixture.outgoingStreams(kBulletinAddress).front();
+  fixture.softswitch.onData(
+      fixture.now, bulletin,
+      encodeFrame(8, 2, encodeRecord(2, kExchangeAddress, 2, 1) + encodeRecord(77, kExchangeAddress, 0, 1)));
+  fixture.advance(100);
+  fixture.completeConnects();
+  FakeStream& caller = fixture.acceptCaller();
+  fixture.sendSetup(caller, kFirstId, "dest:1;at:s-00000002");
+  REQUIRE(caller.sent(MessageKind::release).size() == 1);
+  CHECK(caller.sent(MessageKind::release).front().id == kFirstId);
+  CHECK(caller.sent(MessageKind::release).front().cause == 41);
+  CHECK(fixture.softswitch.statusLine().find("calls=0 ") != std::string::npos);
+  fixture.sendSetup(caller, kSecondId, "dest:1;at:s-0000004d");  // the new exchange
+  fixture.advance(1000);
+  CHECK(caller.sent(MessageKind::release).size() == 1);  // that one stands
+  for (FakeStream* stream : fixture.outgoingStreams(kExchangeAddress)) {
+    for (const Message& message : stream->sent(MessageKind::release)) CHECK(message.id != kFirstId);
+  }
+}
+
 TEST_CASE("platform: invalid messages of callers are rejected, their connections closed, and nothing is relayed") {
   SoftswitchFixture fixture;
   const std::string fields = R"("fields":{"class":"voice","left":"100","key":"1","extras":"dest:1"},"sdp":"x"})";
