A release on a caller's connection that ends at once is repeated on another

What callers saw: a call's release was written to a connection that its caller closed, or that broke, at that moment; the caller never heard it, although other connections of callers were open.

Cause: `notifyCaller()` wrote a release once and kept nothing of it. Towards exchanges a release is repeated if its connection ends within a second; towards callers it was not.

Change: releases are kept a second, or until the caller acknowledges them (`released`), and are written again on another connection if theirs ends before (`src/platform/caller_releases.cpp`). Without another connection they wait for one.

--- a/src/platform/callers.cpp
+++ b/src/platform/callers.cpp
@@ -106,6 +106,8 @@
       return;
     }
     case MessageKind::released:
+      std::erase_if(connection.sentReleases, [&](const SentRelease& release) { return release.id == message->id; });
+      return;
     case MessageKind::progress:
       return;
     default:
@@ -192,11 +194,11 @@
   queuedEvents_.push_back([&call](Controller& to) { to.sessionArrived(call); });
 }
 
-// Registers a call that was established before this softswitch started. The controller is not notified of it, as there
-// is nothing left to decide; only the release is relayed between caller and exchange.
+// Registers a call that was established before this softswitch started, unless it is over. The controller is not
+// notified of it, as there is nothing left to decide; only the release is relayed between caller and exchange.
 void Softswitch::adoptEstablishedCall(CallerConnection& connection, const Message& message, std::string_view exchange) {
-  const auto id = readExchangeId(exchange);
-  auto* peer = id ? static_cast<Peer*>(registry_.find(*id)) : nullptr;
+  const auto exchangeId = readExchangeId(exchange);
+  auto* peer = exchangeId ? static_cast<Peer*>(registry_.find(*exchangeId)) : nullptr;
   if (const auto existing = calls_.find(message.id); existing != calls_.end()) {
     if (existing->second->state == Call::State::established && existing->second->peer == peer) {
       connection.hasSentValidMessage = true;
@@ -210,7 +212,7 @@
   if (released != unmatchedReleases_.end()) {
     connection.hasSentValidMessage = true;
     connection.evidence = CallerEvidence::establishedCall;
-    connection.stream->send(writeMessage(MessageKind::release, message.id, {}, released->cause));
+    writeCallerRelease(connection, message.id, released->cause);
     unmatchedReleases_.erase(released);
     return;
   }
@@ -221,8 +223,7 @@
   if (!peer->hasProcess()) {
     // The process that the call stood at has ended, so nobody else will ever release it.
     ++counters_.droppedCalls;
-    connection.stream->send(writeMessage(MessageKind::release, message.id, {}, kCauseTemporaryFailure));
-    return;
+    return writeCallerRelease(connection, message.id, kCauseTemporaryFailure);
   }
   auto newCall = std::make_unique<Call>();
   newCall->id = message.id;
@@ -302,31 +303,7 @@
                                [&](const auto& candidate) { return candidate.get() == &connection; });
   closedConnections_.push_back(std::move(*it));
   callers_.erase(it);
-}
-
-// Selects the connection for a call's release: the one that its set-up was received on, otherwise, of those with the
-// most evidence of a caller, the one that sent a message last. Connections without a usable set-up, and those that sent
-// an invalid message before they had an established call, are strangers and must not learn of calls.
-CallerConnection* Softswitch::findCallerFor(const Call& call) {
-  if (call.caller != nullptr) return call.caller;
-  CallerConnection* best = nullptr;
-  const auto rank = [](const CallerConnection& connection) {
-    return std::pair(connection.evidence, connection.lastMessageAt);
-  };
-  for (const auto& connection : callers_) {
-    if (connection->evidence == CallerEvidence::none) continue;
-    if (connection->evidence == CallerEvidence::setup && connection->invalidMessages > 0) continue;
-    if (best == nullptr || rank(*connection) > rank(*best)) best = connection.get();
-  }
-  return best;
-}
-
-void Softswitch::notifyCaller(Call& call, int cause) {
-  if (CallerConnection* connection = findCallerFor(call)) {
-    connection->stream->send(writeMessage(MessageKind::release, call.id, {}, cause));
-  } else if (undeliveredReleases_.size() < kMaxStoredReleases) {
-    undeliveredReleases_.push_back({call.id, now_, cause});
-  }
+  if (!connectionsClosed_) repeatReleases(connection);
 }
 
 void Softswitch::maintainCallers() {
@@ -340,14 +317,7 @@
   }
   std::erase_if(unmatchedReleases_,
                 [&](const StoredRelease& release) { return now_ - release.storedAt > kReleaseRetention; });
-  if (!undeliveredReleases_.empty()) {
-    Call noCall;
-    if (CallerConnection* connection = findCallerFor(noCall)) {
-      for (const StoredRelease& release : undeliveredReleases_)
-        connection->stream->send(writeMessage(MessageKind::release, release.id, {}, release.cause));
-      undeliveredReleases_.clear();
-    }
-  }
+  maintainCallerReleases();
 }
 
 }  // namespace thistlefold::platform
--- a/src/platform/connections.hpp
+++ b/src/platform/connections.hpp
@@ -20,6 +20,9 @@
 inline constexpr Span kInitialBackoff = Span::ms(50);
 /// Maximum length of each list of releases that can't be delivered yet.
 inline constexpr std::size_t kMaxStoredReleases = 2048;
+/// A release may be lost with the connection it was written to. If that connection ends within this time, which is a
+/// few times the longest round trip, the release is repeated on another.
+inline constexpr Span kReleaseRepeatWindow = Span::ms(1000);
 /// Release causes: a normal end or an abandoned set-up; a failed set-up or a dropped call.
 inline constexpr int kCauseNormalClearing = 16;
 inline constexpr int kCauseTemporaryFailure = 41;
@@ -35,6 +38,13 @@
   Stream* stream = nullptr;  ///< nullptr: closed, or not opened yet
 };
 
+/// A release that was written and not acknowledged yet.
+struct SentRelease {
+  std::string id;
+  int cause;
+  Instant sentAt;
+};
+
 /// What is known of the client of an incoming connection, least first. A standing call belongs to no connection, so its
 /// release may have to be written on one that never carried it.
 enum class CallerEvidence {
@@ -50,15 +60,9 @@
   Instant connectedAt, partialLineSince = Instant::never(), lastMessageAt;
   bool hasSentValidMessage = false;
   CallerEvidence evidence = CallerEvidence::none;
-  int invalidMessages = 0;        ///< received so far
-  std::size_t pendingSetups = 0;  ///< set-ups without a final answer
-};
-
-/// A release that was written to an exchange.
-struct SentRelease {
-  std::string id;
-  int cause;
-  Instant sentAt;
+  int invalidMessages = 0;                ///< received so far
+  std::size_t pendingSetups = 0;          ///< set-ups without a final answer
+  std::vector<SentRelease> sentReleases;  ///< of established calls, written to it and not acknowledged yet
 };
 
 /// An outgoing connection to an exchange.
--- a/src/platform/exchanges.cpp
+++ b/src/platform/exchanges.cpp
@@ -30,9 +30,7 @@
 constexpr Span kSilenceBeforeCheck = Span::ms(1500);
 constexpr Span kLivenessCheckInterval = Span::ms(800);
 constexpr Span kVanishedAfter = Span::ms(5000);
-// A release may be lost with the connection it was written to. If that connection ends within this time, which is a few
-// times the longest round trip, the release is repeated on another. kMaxSentReleases are kept for each connection.
-constexpr Span kReleaseRepeatWindow = Span::ms(1000);
+// Releases of one connection that may be repeated on another.
 constexpr std::size_t kMaxSentReleases = 64;
 
 }  // namespace
@@ -302,7 +300,7 @@
 // Ends an established call and notifies its caller.
 void Softswitch::endEstablishedCall(Call& call, InviteOutcome outcome, int cause) {
   if (outcome != InviteOutcome::released) ++counters_.droppedCalls;
-  notifyCaller(call, cause);
+  deliverRelease(call.caller, call.id, cause);
   std::erase(call.peer->establishedCalls, &call);
   if (call.knownToController) {
     queuedEvents_.push_back([&call, peer = call.peer, outcome](Controller& to) {
--- a/src/platform/softswitch.hpp
+++ b/src/platform/softswitch.hpp
@@ -89,7 +89,13 @@
   void onCallerRelease(Call& call, int cause);
   void dropDescription(Call& call);
   void closeCaller(CallerConnection& connection, bool atOnce = false);
-  CallerConnection* findCallerFor(const Call& call);
+
+  // Releases towards callers (caller_releases.cpp)
+  CallerConnection* selectCaller();
+  void deliverRelease(CallerConnection* connection, const std::string& id, int cause);
+  void writeCallerRelease(CallerConnection& connection, const std::string& id, int cause);
+  void repeatReleases(const CallerConnection& closed);
+  void maintainCallerReleases();
 
   // Exchanges (exchanges.cpp)
   void onExchangeMessage(TrunkConnection& connection, std::string_view line);
@@ -111,7 +117,6 @@
   void onConnectFailed(Peer& peer, bool refused);
   void dropEstablishedCalls(Peer& peer, Instant before);
   void finishSetup(Call& call, MessageKind kind, const Fields& fields, int cause, std::string_view description = {});
-  void notifyCaller(Call& call, int cause);
 
   void applyEvents(const std::vector<BulletinEvent>& events);
   void onBulletinData(std::string_view bytes);
--- /dev/null
+++ b/tests/program/platform_releases.cpp
@@ -0,0 +1,93 @@
+// Established calls that are over while their caller is still owed the release, whatever stands between: a restart, a
+// replacement, a bound, or the end of a connection. On fake streams and a clock that the test advances.
+
+#include "platform_fixture.hpp"
+
+using namespace thistlefold;
+using namespace thistlefold::platform;
+using namespace thistlefold::platform::test;
+
+namespace {
+
+const iax2::Address kOtherAddress{0x7f000005, 5000};
+constexpr std::uint64_t kStartMs = 1'000'000'000'000;  // when the fixture's softswitch starts, in Unix milliseconds
+
+void publish(SoftswitchFixture& fixture, std::uint64_t number, const std::string& records, bool isSnapshot = false) {
+  fixture.softswitch.onData(fixture.now, *fixture.outgoingStreams(kBulletinAddress).front(),
+                            encodeFrame(number, isSnapshot ? 1 : 2, records));
+  fixture.advance(1);
+}
+
+void sendRelease(SoftswitchFixture& fixture, FakeStream& from, const std::string& id, int cause) {
+  fixture.deliver(from, R"({"type":"release","id":")" + id + R"(","fields":{},"cause":)" + std::to_string(cause) + "}");
+}
+
+void sendReleased(SoftswitchFixture& fixture, FakeStream& from, const std::string& id) {
+  fixture.deliver(from, R"({"type":"released","id":")" + id + R"(","fields":{}})");
+}
+
+void nameCall(SoftswitchFixture& fixture, FakeStream& caller, const std::string& id, const std::string& exchange) {
+  fixture.sendSetup(caller, id, "dest:1;at:" + exchange);
+}
+
+void endStream(SoftswitchFixture& fixture, FakeStream& stream, CloseReason reason) {
+  stream.closed = true;
+  fixture.softswitch.onClosed(fixture.now, stream, reason);
+  fixture.advance(1);
+}
+
+std::string numberedId(int number) { return std::string(12, '0') + std::to_string(1000 + number); }
+
+/// How often the release of a call was sent on a stream.
+std::size_t countReleases(const FakeStream& stream, const std::string& id) {
+  const auto releases = stream.sent(MessageKind::release);
+  return static_cast<std::size_t>(
+      std::count_if(releases.begin(), releases.end(), [&](const Message& message) { return message.id == id; }));
+}
+
+std::size_t countReleasesTo(SoftswitchFixture& fixture, iax2::Address exchange, const std::string& id) {
+  std::size_t count = 0;
+  for (const auto& stream : fixture.streams) {
+    if (stream->remote == exchange) count += countReleases(*stream, id);
+  }
+  return count;
+}
+
+bool holdsNoCall(const SoftswitchFixture& fixture) {
+  return fixture.softswitch.statusLine().find(" calls=0 ") != std::string::npos;
+}
+
+/// Establishes a call on a connection that its caller then closes. Returns the exchange's stream.
+FakeStream& establishAndClose(SoftswitchFixture& fixture, const std::string& id) {
+  FakeStream& caller = fixture.acceptCaller();
+  FakeStream& trunk = fixture.establishCall(caller, id);
+  endStream(fixture, caller, CloseReason::closed);
+  return trunk;
+}
+
+}  // namespace
+
+// Guards against a release lost on a connection that its caller closes, or that breaks, at the same moment.
+TEST_CASE("platform: a release on a caller's connection that ends at once is repeated, unless it was acknowledged") {
+  for (const CloseReason reason : {CloseReason::closed, CloseReason::reset}) {
+    for (const bool isAcknowledged : {false, true}) {
+      CAPTURE(isAcknowledged);
+      SoftswitchFixture fixture;
+      FakeStream& caller = fixture.acceptCaller();
+      FakeStream& trunk = fixture.establishCall(caller, kFirstId);
+      FakeStream& other = fixture.acceptCaller();
+      fixture.establishCall(other, kSecondId);
+      sendRelease(fixture, trunk, kFirstId, 41);
+      CHECK(countReleases(caller, kFirstId) == 1);
+      if (isAcknowledged) sendReleased(fixture, caller, kFirstId);
+      endStream(fixture, caller, reason);
+      CHECK(countReleases(other, kFirstId) == (isAcknowledged ? 0 : 1));
+      // If that one ends too, the release waits for the next caller.
+      endStream(fixture, other, reason);
+      FakeStream& next = fixture.acceptCaller();
+      fixture.sendSetup(next, kThirdId);
+      fixture.advance(50);
+      CHECK(countReleases(next, kFirstId) == (isAcknowledged ? 0 : 1));
+    }
+  }
+}
