A release that a client without calls does not acknowledge is repeated

What callers saw: since a connection that has had refusals alone may get a call's release, one of a client that is no caller of that call can take it, and the caller is not told.

Cause: callers are not identified, and for want of better evidence the release goes to whoever sent a usable set-up. Once a connection of a proven caller was there, nothing was tried again.

Change: a release that is not acknowledged within 0.5 s on a connection that never carried a call is written again on one that did, as soon as there is one.

--- a/src/platform/caller_releases.cpp
+++ b/src/platform/caller_releases.cpp
@@ -11,6 +11,9 @@
 
 // Releases kept while no caller is connected that could receive them.
 constexpr std::size_t kMaxUndeliveredReleases = 16384;
+// A release on a connection that never carried a call is repeated on one that did, unless it is acknowledged within
+// this time. The platform requires that callers are notified within one second.
+constexpr Span kAcknowledgementTimeout = Span::ms(500);
 
 }  // namespace
 
@@ -61,8 +64,20 @@
     if (connection->evidence == CallerEvidence::establishedCall) {
       std::erase_if(connection->sentReleases,
                     [&](const SentRelease& release) { return now_ - release.sentAt > kReleaseRepeatWindow; });
+    } else if (CallerConnection* best = selectCaller();
+               best != nullptr && best->evidence == CallerEvidence::establishedCall) {
+      moveUnacknowledgedReleases(*connection, *best);
     }
   }
 }
 
+// Repeats on `to` the releases that were not acknowledged on `from`, whose client may not be the caller.
+void Softswitch::moveUnacknowledgedReleases(CallerConnection& from, CallerConnection& to) {
+  std::erase_if(from.sentReleases, [&](const SentRelease& release) {
+    if (now_ - release.sentAt < kAcknowledgementTimeout) return false;
+    writeCallerRelease(to, release.id, release.cause);
+    return true;
+  });
+}
+
 }  // namespace thistlefold::platform
--- a/src/platform/softswitch.hpp
+++ b/src/platform/softswitch.hpp
@@ -96,6 +96,7 @@
   void writeCallerRelease(CallerConnection& connection, const std::string& id, int cause);
   void repeatReleases(const CallerConnection& closed);
   void maintainCallerReleases();
+  void moveUnacknowledgedReleases(CallerConnection& from, CallerConnection& to);
 
   // Exchanges (exchanges.cpp)
   void onExchangeMessage(TrunkConnection& connection, std::string_view line);
--- a/tests/program/platform_releases.cpp
+++ b/tests/program/platform_releases.cpp
@@ -91,3 +91,22 @@
     }
   }
 }
+
+// Guards against a release lost with a client that never had a call, but was the only one connected.
+TEST_CASE("platform: a release that a client without calls does not acknowledge is repeated to one that had some") {
+  for (const bool isAcknowledged : {false, true}) {
+    CAPTURE(isAcknowledged);
+    SoftswitchFixture fixture;
+    FakeStream& trunk = establishAndClose(fixture, kFirstId);
+    FakeStream& refusedCaller = fixture.acceptCaller();
+    fixture.sendSetup(refusedCaller, kThirdId, "dest:9;width:1;via:-1");
+    sendRelease(fixture, trunk, kFirstId, 41);
+    CHECK(countReleases(refusedCaller, kFirstId) == 1);
+    if (isAcknowledged) sendReleased(fixture, refusedCaller, kFirstId);
+    FakeStream& caller = fixture.acceptCaller();
+    fixture.establishCall(caller, kSecondId);
+    fixture.advance(1000);
+    CHECK(countReleases(caller, kFirstId) == (isAcknowledged ? 0 : 1));
+    CHECK(countReleases(refusedCaller, kFirstId) == 1);
+  }
+}
