A call that is over when its caller names it is released and not held again

What callers saw: none until the call's release is due a second time; the softswitch and its status line held the call as standing for ever. If its release had just been lost, the caller was never told.

Cause: `adoptEstablishedCall()` looked only at releases of unknown calls that exchanges had sent in the last 15 s (2,048, the newest dropped). A call that this process had ended itself, also one whose release still waited for a caller, was taken in as a new standing one. No exchange will release it again.

Change: `EndedCalls` remembers what ended in the last 30 s, whoever ended it (8,192 calls, the oldest is forgotten), and answers the name with the release.

--- a/src/platform/caller_releases.cpp
+++ b/src/platform/caller_releases.cpp
@@ -37,7 +37,7 @@
 void Softswitch::deliverRelease(CallerConnection* connection, const std::string& id, int cause) {
   if (connection == nullptr) connection = selectCaller();
   if (connection != nullptr) return writeCallerRelease(*connection, id, cause);
-  if (undeliveredReleases_.size() < kMaxUndeliveredReleases) undeliveredReleases_.push_back({id, now_, cause});
+  if (undeliveredReleases_.size() < kMaxUndeliveredReleases) undeliveredReleases_.push_back({id, cause});
 }
 
 void Softswitch::writeCallerRelease(CallerConnection& connection, const std::string& id, int cause) {
@@ -56,7 +56,7 @@
 
 void Softswitch::maintainCallerReleases() {
   if (!undeliveredReleases_.empty() && selectCaller() != nullptr) {
-    for (const StoredRelease& release : std::exchange(undeliveredReleases_, {}))
+    for (const UndeliveredRelease& release : std::exchange(undeliveredReleases_, {}))
       deliverRelease(nullptr, release.id, release.cause);
   }
   for (const auto& connection : callers_) {
--- a/src/platform/callers.cpp
+++ b/src/platform/callers.cpp
@@ -24,8 +24,6 @@
 // Descriptions of pending set-ups may fill this fraction (one quarter) of the memory. Connections take about another
 // quarter at worst.
 constexpr std::size_t kDescriptionMemoryDivisor = 4;
-// How long the release of a call that no caller has named yet is kept.
-constexpr Span kReleaseRetention = Span::ms(15000);
 // No set-up is accepted this long before the exit of a planned restart, so that each one accepted gets an answer.
 constexpr Span kNoNewSetupsBeforeExit = Span::ms(300);
 
@@ -207,14 +205,11 @@
     }
     return;
   }
-  const auto released = std::find_if(unmatchedReleases_.begin(), unmatchedReleases_.end(),
-                                     [&](const StoredRelease& release) { return release.id == message.id; });
-  if (released != unmatchedReleases_.end()) {
+  if (const auto cause = endedCalls_.causeOf(message.id)) {
     connection.hasSentValidMessage = true;
     connection.evidence = CallerEvidence::establishedCall;
-    writeCallerRelease(connection, message.id, released->cause);
-    unmatchedReleases_.erase(released);
-    return;
+    std::erase_if(undeliveredReleases_, [&](const UndeliveredRelease& release) { return release.id == message.id; });
+    return writeCallerRelease(connection, message.id, *cause);
   }
   if (peer == nullptr || calls_.size() >= 2 * deployment_.maxPendingSetups)
     return rejectInvalid(connection, message.id);
@@ -315,8 +310,7 @@
     const bool idle = connection.pendingSetups == 0 && now_ - connection.lastMessageAt > kCallerIdleTimeout;
     if ((neverValid || isStuck || idle) && !connection.stream->hasUnreadData()) closeCaller(connection, true);
   }
-  std::erase_if(unmatchedReleases_,
-                [&](const StoredRelease& release) { return now_ - release.storedAt > kReleaseRetention; });
+  endedCalls_.expire(now_);
   maintainCallerReleases();
 }
 
--- a/src/platform/exchanges.cpp
+++ b/src/platform/exchanges.cpp
@@ -226,9 +226,8 @@
   const auto it = calls_.find(message->id);
   Call* call = it == calls_.end() ? nullptr : it->second.get();
   if (call == nullptr || call->state == Call::State::finished) {
-    if (call == nullptr && message->kind == MessageKind::release && unmatchedReleases_.size() < kMaxStoredReleases) {
-      unmatchedReleases_.push_back({message->id, now_, message->cause.value_or(kCauseTemporaryFailure)});
-    }
+    if (call == nullptr && message->kind == MessageKind::release)
+      endedCalls_.add(message->id, message->cause.value_or(kCauseTemporaryFailure), now_);
     return;
   }
   const bool isInvitedHere = call->state == Call::State::invited && call->trunk == &connection;
@@ -301,6 +300,7 @@
 void Softswitch::endEstablishedCall(Call& call, InviteOutcome outcome, int cause) {
   if (outcome != InviteOutcome::released) ++counters_.droppedCalls;
   deliverRelease(call.caller, call.id, cause);
+  endedCalls_.add(call.id, cause, now_);
   std::erase(call.peer->establishedCalls, &call);
   if (call.knownToController) {
     queuedEvents_.push_back([&call, peer = call.peer, outcome](Controller& to) {
--- a/src/platform/softswitch.cpp
+++ b/src/platform/softswitch.cpp
@@ -24,6 +24,11 @@
 constexpr Span kMaxDrainTime = Span::ms(3000);
 constexpr Span kDrainMargin = Span::ms(400);
 
+// Calls that are over and may still be named by their callers, and how long they are remembered: the front takes in a
+// restarted softswitch only after some seconds.
+constexpr std::size_t kMaxEndedCalls = 8192;
+constexpr Span kEndedCallRetention = Span::ms(30000);
+
 constexpr int kCauseNoCircuit = 34;  // release cause of a set-up that is refused as busy
 
 }  // namespace
@@ -47,6 +52,7 @@
       controller_(controllerFactory(deployment_.officeConfig, deployment_.seed)),
       registry_(deployment_.ownPlace, [] { return std::make_unique<Peer>(); }),
       bulletin_(std::make_unique<Bulletin>()),
+      endedCalls_(kMaxEndedCalls, kEndedCallRetention),
       random_(static_cast<std::ranlux24_base::result_type>(deployment_.seed ^ (deployment_.seed >> 24))),
       now_(now) {
   bulletin_->type = Connection::Type::bulletin;
--- a/src/platform/softswitch.hpp
+++ b/src/platform/softswitch.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "platform/deployment.hpp"
+#include "platform/ended_calls.hpp"
 #include "platform/message.hpp"
 #include "stream_handler.hpp"
 #include "thistlefold/controller.hpp"
@@ -141,13 +142,12 @@
   struct Bulletin;
   std::unique_ptr<Bulletin> bulletin_;
   std::vector<std::function<void(Controller&)>> queuedEvents_, roundEvents_;  // for the next and for this round
-  struct StoredRelease {
+  struct UndeliveredRelease {
     std::string id;
-    Instant storedAt;
     int cause;
   };
-  std::vector<StoredRelease> unmatchedReleases_;    // from exchanges, of calls that no caller has named yet
-  std::vector<StoredRelease> undeliveredReleases_;  // for callers, while none is connected that could receive them
+  std::vector<UndeliveredRelease> undeliveredReleases_;  // for callers, while none is connected that could receive them
+  EndedCalls endedCalls_;
   SoftswitchCounters counters_;
   std::ranlux24_base random_;
   std::size_t pendingSetups_ = 0;
--- a/tests/program/platform_releases.cpp
+++ b/tests/program/platform_releases.cpp
@@ -67,6 +67,22 @@
 
 }  // namespace
 
+// Guards against a call that is over being held again for ever because its caller names it at that moment.
+TEST_CASE("platform: a call that is over when its caller names it is released and not held again") {
+  for (const bool isDelivered : {false, true}) {
+    CAPTURE(isDelivered);
+    SoftswitchFixture fixture;
+    FakeStream& trunk = establishAndClose(fixture, kFirstId);
+    if (isDelivered) fixture.establishCall(fixture.acceptCaller(), kSecondId);
+    sendRelease(fixture, trunk, kFirstId, 16);
+    FakeStream& caller = fixture.acceptCaller();
+    nameCall(fixture, caller, kFirstId, "s-00000002");
+    fixture.advance(100);
+    CHECK(countReleases(caller, kFirstId) == 1);
+    CHECK(fixture.softswitch.statusLine().find(isDelivered ? " calls=1 " : " calls=0 ") != std::string::npos);
+  }
+}
+
 // Guards against a release lost on a connection that its caller closes, or that breaks, at the same moment.
 TEST_CASE("platform: a release on a caller's connection that ends at once is repeated, unless it was acknowledged") {
   for (const CloseReason reason : {CloseReason::closed, CloseReason::reset}) {
