An exchange first listed as gone does not get an address that another one holds

What callers saw: calls named at an exchange that the list had replaced before the softswitch knew it (a whole list with both entries, or the replacement first) were never released.

Cause: the address is taken from an exchange only if it is known when its replacement is listed. One that is first listed as gone got the address of the entry, so that calls named there were held as if the replacement's process carried them; it accepts connections, so no check ended them.

Change: `applyListed()` and `applyGone()`: ready and draining entries of an event first; an exchange that is gone gets no address that another one holds.

--- a/src/platform/softswitch.cpp
+++ b/src/platform/softswitch.cpp
@@ -213,19 +213,10 @@
     std::vector<wire::ListEntry> entries;
     for (const ExchangeLocation& location : event.locations) {
       entries.push_back(location.entry);
-      // An exchange that has gone keeps its address, or has none if another has taken it over, and must not get it
-      // back.
-      if (location.entry.readiness == Readiness::gone && registry_.find(location.entry.id) != nullptr) continue;
-      auto& peer = static_cast<Peer&>(registry_.findOrCreate(location.entry.id));
-      const bool isNewProcess = location.entry.started > peer.started || !(peer.address == location.address);
-      peer.address = location.address;
-      if (isNewProcess) {
-        peer.restartedAt = now_;
-        peer.nextConnectAt = Instant::distantPast();
-        peer.backoff = kInitialBackoff;
-        // Calls established with the previous process no longer exist.
-        if (location.entry.started > Instant::distantPast()) dropEstablishedCalls(peer, location.entry.started);
-      }
+      if (location.entry.readiness != Readiness::gone) applyListed(location);
+    }
+    for (const ExchangeLocation& location : event.locations) {
+      if (location.entry.readiness == Readiness::gone) applyGone(location);
     }
     queuedEvents_.push_back([this, entries, isSnapshot = event.isSnapshot](Controller& to) {
       registry_.applyList(to, entries, isSnapshot);
@@ -237,6 +228,37 @@
   }
 }
 
+// Applies address and start of an exchange that is listed as ready or draining.
+void Softswitch::applyListed(const ExchangeLocation& location) {
+  auto& peer = static_cast<Peer&>(registry_.findOrCreate(location.entry.id));
+  const bool isNewProcess = location.entry.started > peer.started || !(peer.address == location.address);
+  peer.address = location.address;
+  peer.isListedGone = false;
+  if (!isNewProcess) return;
+  peer.restartedAt = now_;
+  peer.nextConnectAt = Instant::distantPast();
+  peer.backoff = kInitialBackoff;
+  // Calls established with the previous process no longer exist.
+  if (location.entry.started > Instant::distantPast()) dropEstablishedCalls(peer, location.entry.started);
+}
+
+// Applies that an exchange is listed as gone. It keeps its address, or has none if another has taken that over, and
+// must not get it back.
+void Softswitch::applyGone(const ExchangeLocation& location) {
+  if (auto* known = static_cast<Peer*>(registry_.find(location.entry.id))) {
+    known->isListedGone = true;
+    return;
+  }
+  const auto& all = registry_.all();
+  const bool isTakenOver = std::any_of(all.begin(), all.end(), [&](const auto& entry) {
+    const auto& other = static_cast<const Peer&>(*entry.second);
+    return other.address == location.address && !other.isListedGone;
+  });
+  auto& peer = static_cast<Peer&>(registry_.findOrCreate(location.entry.id));
+  peer.isListedGone = true;
+  if (!isTakenOver) peer.address = location.address;
+}
+
 void Softswitch::onBulletinData(std::string_view bytes) {
   Bulletin& bulletin = *bulletin_;
   bulletin.reader.add(bytes);
--- a/src/platform/softswitch.hpp
+++ b/src/platform/softswitch.hpp
@@ -121,6 +121,8 @@
   void finishSetup(Call& call, MessageKind kind, const Fields& fields, int cause, std::string_view description = {});
 
   void applyEvents(const std::vector<BulletinEvent>& events);
+  void applyListed(const ExchangeLocation& location);
+  void applyGone(const ExchangeLocation& location);
   void onBulletinData(std::string_view bytes);
   void subscribeToBulletin();
   void scheduleSubscription(Span maxDelay);
--- a/tests/program/platform_releases.cpp
+++ b/tests/program/platform_releases.cpp
@@ -67,6 +67,28 @@
 
 }  // namespace
 
+// Guards against an exchange that the list first names as gone being given the address of the one that replaced it, so
+// that calls named there were held as if the new process carried them.
+TEST_CASE("platform: an exchange first listed as gone does not get an address that another one holds") {
+  for (const bool isSameEvent : {false, true}) {
+    CAPTURE(isSameEvent);
+    SoftswitchFixture fixture;
+    const std::string gone = encodeRecord(76, kOtherAddress, 2, 1), ready = encodeRecord(77, kOtherAddress, 0, 1);
+    if (isSameEvent) {
+      publish(fixture, 8, gone + ready);
+    } else {
+      publish(fixture, 8, ready);
+      publish(fixture, 9, gone);
+    }
+    fixture.advance(100);
+    fixture.completeConnects();
+    FakeStream& caller = fixture.acceptCaller();
+    nameCall(fixture, caller, kFirstId, "s-0000004c");
+    CHECK(countReleases(caller, kFirstId) == 1);
+    CHECK(holdsNoCall(fixture));
+  }
+}
+
 // Guards against a call that is over being held again for ever because its caller names it at that moment.
 TEST_CASE("platform: a call that is over when its caller names it is released and not held again") {
   for (const bool isDelivered : {false, true}) {
