An exchange listed at another address is a new process, and its calls are released

What callers saw: calls at an exchange that the list moved to another address without a start time were never released.

Cause: calls were ended only if the entry named a later start. The new process accepts connections, so neither refusals nor silence show that the former one has ended.

Change: an exchange that is listed at another address is retired first, like one whose address is taken: calls ended, connections closed, releases dropped.

--- a/src/platform/softswitch.cpp
+++ b/src/platform/softswitch.cpp
@@ -231,6 +231,8 @@
 // Applies address and start of an exchange that is listed as ready or draining.
 void Softswitch::applyListed(const ExchangeLocation& location) {
   auto& peer = static_cast<Peer&>(registry_.findOrCreate(location.entry.id));
+  // An exchange that is listed at another address is another process.
+  if (peer.hasProcess() && !(peer.address == location.address)) retirePeer(peer);
   const bool isNewProcess = location.entry.started > peer.started || !(peer.address == location.address);
   peer.address = location.address;
   peer.isListedGone = false;
--- a/tests/program/platform_releases.cpp
+++ b/tests/program/platform_releases.cpp
@@ -89,6 +89,17 @@
   }
 }
 
+// Guards against the calls of an exchange that the list moves to another address being held for ever: its new process
+// accepts connections, so nothing else shows that the former one has ended.
+TEST_CASE("platform: an exchange listed at another address is a new process, and its calls are released") {
+  SoftswitchFixture fixture;
+  FakeStream& caller = fixture.acceptCaller();
+  fixture.establishCall(caller, kFirstId);
+  publish(fixture, 8, encodeRecord(2, kOtherAddress, 0, 1));
+  CHECK(countReleases(caller, kFirstId) == 1);
+  CHECK(fixture.outgoingStreams(kExchangeAddress).empty());
+}
+
 // Guards against a call that is over being held again for ever because its caller names it at that moment.
 TEST_CASE("platform: a call that is over when its caller names it is released and not held again") {
   for (const bool isDelivered : {false, true}) {
