Calls named at an unknown exchange are released one by one and are no noise

Cause: the whole list at the start does not have the former exchange, so it is unknown, and each name counted as an invalid message. The eighth closes the connection, with what lies behind it unread. A call named at the own exchange, to which no connection is ever made, was held for ever.

Change: a well-formed name at an exchange where no call can stand is answered by its release (cause 41) and counts as neither valid nor invalid: it does not close the connection and is no evidence of a caller. A name of another form is noise as before.

--- a/src/platform/caller_releases.cpp
+++ b/src/platform/caller_releases.cpp
@@ -42,6 +42,7 @@
 
 void Softswitch::writeCallerRelease(CallerConnection& connection, const std::string& id, int cause) {
   connection.stream->send(writeMessage(MessageKind::release, id, {}, cause));
+  if (connection.evidence == CallerEvidence::none) return;  // a stranger's own word alone: nobody else is told of it
   if (connection.sentReleases.size() == kMaxStoredReleases)
     connection.sentReleases.erase(connection.sentReleases.begin());
   connection.sentReleases.push_back({id, cause, now_});
--- a/src/platform/callers.cpp
+++ b/src/platform/callers.cpp
@@ -196,7 +196,8 @@
 // notified of it, as there is nothing left to decide; only the release is relayed between caller and exchange.
 void Softswitch::adoptEstablishedCall(CallerConnection& connection, const Message& message, std::string_view exchange) {
   const auto exchangeId = readExchangeId(exchange);
-  auto* peer = exchangeId ? static_cast<Peer*>(registry_.find(*exchangeId)) : nullptr;
+  if (!exchangeId) return rejectInvalid(connection, message.id);
+  auto* peer = static_cast<Peer*>(registry_.find(*exchangeId));
   if (const auto existing = calls_.find(message.id); existing != calls_.end()) {
     if (existing->second->state == Call::State::established && existing->second->peer == peer) {
       connection.hasSentValidMessage = true;
@@ -211,15 +212,12 @@
     std::erase_if(undeliveredReleases_, [&](const UndeliveredRelease& release) { return release.id == message.id; });
     return writeCallerRelease(connection, message.id, *cause);
   }
-  if (peer == nullptr || calls_.size() >= 2 * deployment_.maxPendingSetups)
-    return rejectInvalid(connection, message.id);
+  if (peer == nullptr || peer->own) return rejectStaleName(connection, message.id);
+  if (calls_.size() >= 2 * deployment_.maxPendingSetups) return rejectInvalid(connection, message.id);
   connection.hasSentValidMessage = true;
   connection.evidence = CallerEvidence::establishedCall;
-  if (!peer->hasProcess()) {
-    // The process that the call stood at has ended, so nobody else will ever release it.
-    ++counters_.droppedCalls;
-    return writeCallerRelease(connection, message.id, kCauseTemporaryFailure);
-  }
+  // Nobody else would release the call towards its caller.
+  if (!peer->hasProcess()) return rejectStaleName(connection, message.id);
   auto newCall = std::make_unique<Call>();
   newCall->id = message.id;
   newCall->state = Call::State::established;
@@ -231,6 +229,13 @@
   calls_.emplace(message.id, std::move(newCall));
 }
 
+// Releases a call that its caller names as established, but that is over. This is no invalid message: after a restart a
+// caller can't know what has become of its exchanges.
+void Softswitch::rejectStaleName(CallerConnection& connection, const std::string& id) {
+  ++counters_.droppedCalls;
+  writeCallerRelease(connection, id, kCauseTemporaryFailure);
+}
+
 // Ends a call that its caller has released, or a set-up that the caller has abandoned by closing.
 void Softswitch::onCallerRelease(Call& call, int cause) {
   if (call.state == Call::State::established) {
--- a/src/platform/softswitch.hpp
+++ b/src/platform/softswitch.hpp
@@ -90,6 +90,7 @@
   void onCallerRelease(Call& call, int cause);
   void dropDescription(Call& call);
   void closeCaller(CallerConnection& connection, bool atOnce = false);
+  void rejectStaleName(CallerConnection& connection, const std::string& id);
 
   // Releases towards callers (caller_releases.cpp)
   CallerConnection* selectCaller();
--- a/tests/program/platform_releases.cpp
+++ b/tests/program/platform_releases.cpp
@@ -89,6 +89,33 @@
   }
 }
 
+// Guards against callers that name calls at an exchange that was replaced during the restart being taken for noise: the
+// ninth name closed their connection, and set-ups behind it were lost.
+TEST_CASE("platform: calls named at an unknown exchange are each released, and what lies behind them is served") {
+  SoftswitchFixture fixture;
+  FakeStream& caller = fixture.acceptCaller();
+  for (int i = 0; i < 20; ++i) nameCall(fixture, caller, numberedId(i), "s-0000ffff");
+  fixture.sendSetup(caller, kFirstId);
+  CHECK(!caller.closed);
+  for (int i = 0; i < 20; ++i) CHECK(countReleases(caller, numberedId(i)) == 1);
+  REQUIRE(fixture.invitedStream(kFirstId) != nullptr);
+  fixture.sendAnswer(*fixture.invitedStream(kFirstId), kFirstId);
+  CHECK(caller.sent(MessageKind::answer).size() == 1);
+  // An id of another form is noise as before.
+  FakeStream& stranger = fixture.acceptCaller();
+  for (int i = 0; i < 8; ++i) nameCall(fixture, stranger, numberedId(i), "7");
+  CHECK(stranger.closed);
+}
+
+// Guards against a call named at the own exchange, where no call can be set up, being held for ever.
+TEST_CASE("platform: a call named at the own exchange is released") {
+  SoftswitchFixture fixture;
+  FakeStream& caller = fixture.acceptCaller();
+  nameCall(fixture, caller, kFirstId, "s-00000001");
+  CHECK(countReleases(caller, kFirstId) == 1);
+  CHECK(holdsNoCall(fixture));
+}
+
 // Guards against the calls of an exchange that the list moves to another address being held for ever: its new process
 // accepts connections, so nothing else shows that the former one has ended.
 TEST_CASE("platform: an exchange listed at another address is a new process, and its calls are released") {
