A named call is released if its exchange restarted after the softswitch's start

What callers saw: a call named at an exchange that had restarted under its id after the softswitch's start was never released.

Cause: a named call counted as established at its naming, so it looked younger than the exchange's new process, whether the list told of that before the naming or after. Besides, the start was compared with what the controller keeps, which can be later than the list's (a return without a new start).

Change: a named call was established before the softswitch's start (`startedAt_`), and the start of an exchange's process is kept as the list told it (`listedStart`). A call of an older process is released at both ends.

--- a/src/platform/callers.cpp
+++ b/src/platform/callers.cpp
@@ -216,15 +216,18 @@
   if (calls_.size() >= 2 * deployment_.maxPendingSetups) return rejectInvalid(connection, message.id);
   connection.hasSentValidMessage = true;
   connection.evidence = CallerEvidence::establishedCall;
-  // Nobody else would release the call towards its caller.
-  if (!peer->hasProcess()) return rejectStaleName(connection, message.id);
+  if (!peer->hasProcess() || peer->listedStart > startedAt_) {
+    // Nobody else would release the call towards its caller.
+    if (peer->hasProcess()) sendRelease(*peer, nullptr, message.id, kCauseNormalClearing);
+    return rejectStaleName(connection, message.id);
+  }
   auto newCall = std::make_unique<Call>();
   newCall->id = message.id;
   newCall->state = Call::State::established;
   newCall->knownToController = false;
   newCall->caller = &connection;
   newCall->peer = peer;
-  newCall->establishedAt = now_;
+  newCall->establishedAt = startedAt_;  // at the latest
   peer->establishedCalls.push_back(newCall.get());
   calls_.emplace(message.id, std::move(newCall));
 }
--- a/src/platform/connections.hpp
+++ b/src/platform/connections.hpp
@@ -88,6 +88,7 @@
   std::vector<Call*> establishedCalls;
   Instant nextConnectAt = Instant::distantPast();  ///< end of the back-off; connections for an INVITE don't wait for it
   Instant restartedAt = Instant::distantPast();    ///< when the bulletin reported a new process or address
+  Instant listedStart = Instant::distantPast();    ///< start of its process, as the bulletin told it last
   bool isListedGone = false;                ///< as the bulletin told last; `readiness` follows with the next round
   Span backoff = kInitialBackoff;           ///< before the next attempt; doubled, up to a bound, by each failed one
   Instant refusedSince = Instant::never();  ///< connection attempts fail since then and none is established
--- a/src/platform/softswitch.cpp
+++ b/src/platform/softswitch.cpp
@@ -54,6 +54,7 @@
       bulletin_(std::make_unique<Bulletin>()),
       endedCalls_(kMaxEndedCalls, kEndedCallRetention),
       random_(static_cast<std::ranlux24_base::result_type>(deployment_.seed ^ (deployment_.seed >> 24))),
+      startedAt_(now),
       now_(now) {
   bulletin_->type = Connection::Type::bulletin;
   scheduleSubscription(kSubscribeJitter * 0.5);
@@ -233,7 +234,7 @@
   auto& peer = static_cast<Peer&>(registry_.findOrCreate(location.entry.id));
   // An exchange that is listed at another address is another process.
   if (peer.hasProcess() && !(peer.address == location.address)) retirePeer(peer);
-  const bool isNewProcess = location.entry.started > peer.started || !(peer.address == location.address);
+  const bool isNewProcess = location.entry.started > peer.listedStart || !(peer.address == location.address);
   peer.address = location.address;
   peer.isListedGone = false;
   if (!isNewProcess) return;
@@ -242,6 +243,7 @@
   peer.backoff = kInitialBackoff;
   // Calls established with the previous process no longer exist.
   if (location.entry.started > Instant::distantPast()) dropEstablishedCalls(peer, location.entry.started);
+  peer.listedStart = std::max(peer.listedStart, location.entry.started);
 }
 
 // Applies that an exchange is listed as gone. It keeps its address, or has none if another has taken that over, and
--- a/src/platform/softswitch.hpp
+++ b/src/platform/softswitch.hpp
@@ -156,7 +156,7 @@
   std::size_t pendingSetups_ = 0;
   std::size_t descriptionBytes_ = 0;  // of the descriptions of all pending set-ups
   std::size_t trunkConnectionCount_ = 0;
-  Instant now_;
+  Instant startedAt_, now_;
   Instant wakeAt_ = Instant::distantPast();
   Instant maintainedAt_ = Instant::distantPast();
   bool connectionsClosed_ = false;
--- a/tests/program/platform_releases.cpp
+++ b/tests/program/platform_releases.cpp
@@ -116,6 +116,27 @@
   CHECK(holdsNoCall(fixture));
 }
 
+// Guards against a named call outliving its exchange's process: it counted as established at its naming, so a restart
+// of the exchange between the softswitch's start and the naming was not seen, whenever the list told it.
+TEST_CASE("platform: a named call is released if its exchange restarted after the softswitch started") {
+  for (const bool isListedFirst : {true, false}) {
+    CAPTURE(isListedFirst);
+    SoftswitchFixture fixture;
+    FakeStream& caller = fixture.acceptCaller();
+    const std::string restarted = encodeRecord(2, kExchangeAddress, 0, 1, kStartMs + 100);
+    if (isListedFirst) publish(fixture, 8, restarted);
+    nameCall(fixture, caller, kFirstId, "s-00000002");
+    if (!isListedFirst) {
+      CHECK(countReleases(caller, kFirstId) == 0);
+      publish(fixture, 8, restarted);
+    }
+    CHECK(countReleases(caller, kFirstId) == 1);
+    CHECK(holdsNoCall(fixture));
+    fixture.completeConnects();
+    CHECK(countReleasesTo(fixture, kExchangeAddress, kFirstId) == 1);  // both ends agree in any case
+  }
+}
+
 // Guards against the calls of an exchange that the list moves to another address being held for ever: its new process
 // accepts connections, so nothing else shows that the former one has ended.
 TEST_CASE("platform: an exchange listed at another address is a new process, and its calls are released") {
