After a start an exchange's silence counts from its listing, not from the distant past

What callers saw: after a restart, a call that still stood was released towards its caller when its exchange's connections came up later than two connect timeouts; caller and exchange no longer agreed.

Cause: `lastAliveAt` starts in the distant past, so five seconds of silence had passed from the first instant on, and two failed attempts were enough to count the machine as vanished.

Change: the silence of an exchange counts from when it is first listed, or listed with a new process. One that vanished meanwhile is found five seconds after that, within the eight that the platform allows.

--- a/src/platform/connections.hpp
+++ b/src/platform/connections.hpp
@@ -92,7 +92,8 @@
   bool isListedGone = false;                ///< as the bulletin told last; `readiness` follows with the next round
   Span backoff = kInitialBackoff;           ///< before the next attempt; doubled, up to a bound, by each failed one
   Instant refusedSince = Instant::never();  ///< connection attempts fail since then and none is established
-  Instant lastAliveAt = Instant::distantPast();        ///< when it last sent a message or accepted a connection
+  Instant lastAliveAt = Instant::distantPast();  ///< when it last sent a message, accepted a connection or was listed
+                                                 ///< with a new process
   Instant livenessCheckedAt = Instant::distantPast();  ///< last check by a connection, made after a silence
   int failedConnects = 0;                              ///< connection attempts that failed since `lastAliveAt`
 };
--- a/src/platform/softswitch.cpp
+++ b/src/platform/softswitch.cpp
@@ -238,9 +238,10 @@
   peer.address = location.address;
   peer.isListedGone = false;
   if (!isNewProcess) return;
-  peer.restartedAt = now_;
+  peer.restartedAt = peer.lastAliveAt = now_;
   peer.nextConnectAt = Instant::distantPast();
   peer.backoff = kInitialBackoff;
+  peer.failedConnects = 0;
   // Calls established with the previous process no longer exist.
   if (location.entry.started > Instant::distantPast()) dropEstablishedCalls(peer, location.entry.started);
   peer.listedStart = std::max(peer.listedStart, location.entry.started);
@@ -260,6 +261,7 @@
   });
   auto& peer = static_cast<Peer&>(registry_.findOrCreate(location.entry.id));
   peer.isListedGone = true;
+  peer.lastAliveAt = now_;
   if (!isTakenOver) peer.address = location.address;
 }
 
--- a/tests/program/platform_releases.cpp
+++ b/tests/program/platform_releases.cpp
@@ -137,6 +137,24 @@
   }
 }
 
+// Guards against calls that still stand being released after a restart because the exchange's connections come up late:
+// the silence before the start counted, so two failed attempts were enough.
+TEST_CASE("platform: an exchange that accepts late after the softswitch's start keeps the calls named there") {
+  SoftswitchFixture fixture;
+  publish(fixture, 8, encodeRecord(77, kOtherAddress, 0, 3));  // a new exchange, which accepts nothing yet
+  FakeStream& caller = fixture.acceptCaller();
+  nameCall(fixture, caller, kFirstId, "s-0000004d");
+  fixture.advance(1400);  // two attempts time out
+  CHECK(countReleases(caller, kFirstId) == 0);
+  for (FakeStream* stream : fixture.outgoingStreams(kOtherAddress)) fixture.completeConnect(*stream);
+  fixture.advance(1000);
+  CHECK(countReleases(caller, kFirstId) == 0);
+  // One that stays away has vanished.
+  nameCall(fixture, caller, kSecondId, "s-0000004d");
+  fixture.advance(8000);
+  CHECK(countReleases(caller, kSecondId) == 1);
+}
+
 // Guards against the calls of an exchange that the list moves to another address being held for ever: its new process
 // accepts connections, so nothing else shows that the former one has ended.
 TEST_CASE("platform: an exchange listed at another address is a new process, and its calls are released") {
