A call named beyond the limit is released at both of its ends

What callers saw: at the limit of held calls a name was answered with cause 100, which ends the call for its caller, while it went on standing at its exchange; eight of them closed the connection.

Cause: the name was rejected as an invalid message without a word to the exchange. The limit counted all calls, so that the usual calls of a busy office could use it up.

Change: the limit (twice the pending set-ups) holds for calls from before the start alone, and beyond it a call is released at both of its ends.

--- a/src/platform/callers.cpp
+++ b/src/platform/callers.cpp
@@ -24,6 +24,8 @@
 // Descriptions of pending set-ups may fill this fraction (one quarter) of the memory. Connections take about another
 // quarter at worst.
 constexpr std::size_t kDescriptionMemoryDivisor = 4;
+// Calls adopted from before the start that may be held, for each set-up that may be pending.
+constexpr std::size_t kAdoptedCallsPerSetup = 2;
 // No set-up is accepted this long before the exit of a planned restart, so that each one accepted gets an answer.
 constexpr Span kNoNewSetupsBeforeExit = Span::ms(300);
 
@@ -213,11 +215,11 @@
     return writeCallerRelease(connection, message.id, *cause);
   }
   if (peer == nullptr || peer->own) return rejectStaleName(connection, message.id);
-  if (calls_.size() >= 2 * deployment_.maxPendingSetups) return rejectInvalid(connection, message.id);
   connection.hasSentValidMessage = true;
   connection.evidence = CallerEvidence::establishedCall;
-  if (!peer->hasProcess() || peer->listedStart > startedAt_) {
-    // Nobody else would release the call towards its caller.
+  const bool isOver = !peer->hasProcess() || peer->listedStart > startedAt_;
+  if (isOver || adoptedCalls_ >= kAdoptedCallsPerSetup * deployment_.maxPendingSetups) {
+    // Nobody else would release the call towards its caller. At the limit it is ended at both of its ends.
     if (peer->hasProcess()) sendRelease(*peer, nullptr, message.id, kCauseNormalClearing);
     return rejectStaleName(connection, message.id);
   }
@@ -228,6 +230,7 @@
   newCall->caller = &connection;
   newCall->peer = peer;
   newCall->establishedAt = startedAt_;  // at the latest
+  ++adoptedCalls_;
   peer->establishedCalls.push_back(newCall.get());
   calls_.emplace(message.id, std::move(newCall));
 }
@@ -244,6 +247,7 @@
   if (call.state == Call::State::established) {
     sendRelease(*call.peer, nullptr, call.id, cause);
     std::erase(call.peer->establishedCalls, &call);
+    if (!call.knownToController) --adoptedCalls_;
     if (call.knownToController) {
       queuedEvents_.push_back([&call, peer = call.peer](Controller& to) {
         to.inviteEnded(call, *peer, InviteOutcome::cancelled, BlockingReason::none, false, Span::none(), true);
--- a/src/platform/exchanges.cpp
+++ b/src/platform/exchanges.cpp
@@ -302,6 +302,7 @@
   deliverRelease(call.caller, call.id, cause);
   endedCalls_.add(call.id, cause, now_);
   std::erase(call.peer->establishedCalls, &call);
+  if (!call.knownToController) --adoptedCalls_;
   if (call.knownToController) {
     queuedEvents_.push_back([&call, peer = call.peer, outcome](Controller& to) {
       to.inviteEnded(call, *peer, outcome, BlockingReason::none, false, Span::none(), true);
--- a/src/platform/softswitch.hpp
+++ b/src/platform/softswitch.hpp
@@ -156,6 +156,7 @@
   std::size_t pendingSetups_ = 0;
   std::size_t descriptionBytes_ = 0;  // of the descriptions of all pending set-ups
   std::size_t trunkConnectionCount_ = 0;
+  std::size_t adoptedCalls_ = 0;  // established calls that are not known to the controller
   Instant startedAt_, now_;
   Instant wakeAt_ = Instant::distantPast();
   Instant maintainedAt_ = Instant::distantPast();
--- a/tests/program/platform_releases.cpp
+++ b/tests/program/platform_releases.cpp
@@ -166,6 +166,25 @@
   CHECK(fixture.outgoingStreams(kExchangeAddress).empty());
 }
 
+// Guards against a named call being refused at the limit without a word to its exchange, where it went on standing.
+TEST_CASE("platform: a call named beyond the limit is released at both of its ends") {
+  SoftswitchFixture fixture;
+  FakeStream& caller = fixture.acceptCaller();
+  for (int i = 0; i < 110; ++i) nameCall(fixture, caller, numberedId(i), "s-00000002");  // the limit is 2 x 50
+  for (int i = 0; i < 110; ++i) {
+    CAPTURE(i);
+    CHECK(countReleases(caller, numberedId(i)) == (i < 100 ? 0 : 1));
+    CHECK(countReleasesTo(fixture, kExchangeAddress, numberedId(i)) == (i < 100 ? 0 : 1));
+  }
+  REQUIRE(!caller.closed);
+  // Calls that end make room.
+  sendRelease(fixture, *fixture.outgoingStreams(kExchangeAddress).front(), numberedId(0), 16);
+  sendRelease(fixture, caller, numberedId(1), 16);
+  nameCall(fixture, caller, kFirstId, "s-00000002");
+  nameCall(fixture, caller, kSecondId, "s-00000002");
+  CHECK(countReleases(caller, kFirstId) + countReleases(caller, kSecondId) == 0);
+}
+
 // Guards against a call that is over being held again for ever because its caller names it at that moment.
 TEST_CASE("platform: a call that is over when its caller names it is released and not held again") {
   for (const bool isDelivered : {false, true}) {
