exchanges.cpp is parted: connections to exchanges go to trunks.cpp

Need: exchanges.cpp held two jobs, the messages of exchanges and the opening, closing and judging of connections to them, and the next mend is about the second alone.

Change: the functions and constants of connections move to trunks.cpp unchanged; their declarations are grouped alike. No behaviour changes.

--- a/src/platform/softswitch.hpp
+++ b/src/platform/softswitch.hpp
@@ -108,19 +108,22 @@
   void endEstablishedCall(Call& call, InviteOutcome outcome, int cause);
   void endInvite(Call& call, InviteOutcome outcome, BlockingReason reason = BlockingReason::none,
                  bool farProcessor = false, Span reportedWait = Span::none());
-  void dropConnection(TrunkConnection& connection, InviteOutcome outcomeIfUnsent);
   void sendRelease(Peer& peer, TrunkConnection* connection, const std::string& id, int cause);
-  TrunkConnection* selectConnection(Peer& peer);
-  TrunkConnection* openConnection(Peer& peer);
-  bool evictIdleConnectionFor(const Peer& peer);
   void writeRelease(TrunkConnection& connection, const std::string& id, int cause);
   void withdrawInvites(TrunkConnection& connection);
   void writeSetup(TrunkConnection& connection, Call& call);
-  void retirePeer(Peer& peer);
+
+  // Connections to exchanges (trunks.cpp)
+  TrunkConnection* selectConnection(Peer& peer);
+  TrunkConnection* openConnection(Peer& peer);
+  bool evictIdleConnectionFor(const Peer& peer);
+  void dropConnection(TrunkConnection& connection, InviteOutcome outcomeIfUnsent);
   void onConnectFailed(Peer& peer, bool refused);
+  void retirePeer(Peer& peer);
   void dropEstablishedCalls(Peer& peer, Instant before);
-  void finishSetup(Call& call, MessageKind kind, const Fields& fields, int cause, std::string_view description = {});
+  void maintainTrunks();
 
+  void finishSetup(Call& call, MessageKind kind, const Fields& fields, int cause, std::string_view description = {});
   void applyEvents(const std::vector<BulletinEvent>& events);
   void applyListed(const ExchangeLocation& location);
   void applyGone(const ExchangeLocation& location);
@@ -128,7 +131,6 @@
   void subscribeToBulletin();
   void scheduleSubscription(Span maxDelay);
   double randomFraction();
-  void maintainTrunks();
   void maintainCallers();
   void runRound();
 
