Established calls get their connections at the limits, so vanished machines are found

Cause: a vanished machine is found by new connections that do not come up. At the share of all connections openConnection() made room only for an exchange without any, and the vanished one still has its silent ones; at the 12 of one exchange none was tried. So no check was opened, none failed, and the calls stood. With more exchanges than connections those without any were never connected to again: their ends, their releases and releases for them stayed. Ruled out: the time limits of the check, which tell callers after 4.5 s below the limit.

Change: ConnectionNeed says what a connection is for. For calls room is made from a spare of the silent exchange, another's spare, its only one, others' only ones after half a second, and last a reserve of four. Exchanges whose calls need a connection take turns by their last contact; a connection with a release under way is not closed. maintainTrunks() is parted by its jobs. What did not work at first: serving exchanges in the order of their ids, and closing connections whose release was then written again, starved the last four of 40 (a test showed it).

--- a/src/platform/connections.hpp
+++ b/src/platform/connections.hpp
@@ -65,6 +65,14 @@
   std::vector<SentRelease> sentReleases;  ///< of established calls, written to it and not acknowledged yet
 };
 
+/// What a new connection to an exchange is needed for, least urgent first. At the limits it decides what is closed for
+/// it.
+enum class ConnectionNeed {
+  standby,  ///< load reports and later set-ups
+  setup,    ///< a set-up, and there is no connection to its exchange
+  calls     ///< established calls: whether their exchange is alive, and releases from and to it
+};
+
 /// An outgoing connection to an exchange.
 struct TrunkConnection : Connection {
   Peer* peer = nullptr;  ///< the exchange; owns this connection
@@ -75,6 +83,9 @@
   Instant connectStartedAt, lastReceivedAt, lastRequestAt;
   std::vector<Call*> invitedCalls;        ///< calls whose INVITE is out on it or waits until it is connected
   std::vector<SentRelease> sentReleases;  ///< releases written to it that were not acknowledged yet
+
+  /// Whether closing it affects no set-up.
+  bool isIdle() const { return connected && invitedCalls.empty(); }
 };
 
 /// A listed exchange.
@@ -94,8 +105,8 @@
   Instant refusedSince = Instant::never();  ///< connection attempts fail since then and none is established
   Instant lastAliveAt = Instant::distantPast();  ///< when it last sent a message, accepted a connection or was listed
                                                  ///< with a new process
-  Instant livenessCheckedAt = Instant::distantPast();  ///< last check by a connection, made after a silence
-  int failedConnects = 0;                              ///< connection attempts that failed since `lastAliveAt`
+  Instant contactedAt = Instant::distantPast();  ///< when a connection to it was last opened for its calls
+  int failedConnects = 0;                        ///< connection attempts that failed since `lastAliveAt`
 };
 
 /// A call, from its set-up to its end. Owned by the softswitch.
--- a/src/platform/softswitch.hpp
+++ b/src/platform/softswitch.hpp
@@ -23,6 +23,7 @@
 struct Connection;
 struct CallerConnection;
 struct TrunkConnection;
+enum class ConnectionNeed;
 
 /// Makes the controller of an office. The configuration outlives the controller.
 using ControllerFactory = std::function<std::unique_ptr<Controller>(const OfficeConfig&, std::uint64_t seed)>;
@@ -115,13 +116,22 @@
 
   // Connections to exchanges (trunks.cpp)
   TrunkConnection* selectConnection(Peer& peer);
-  TrunkConnection* openConnection(Peer& peer);
-  bool evictIdleConnectionFor(const Peer& peer);
+  TrunkConnection* openConnection(Peer& peer, ConnectionNeed need);
+  bool makeRoomFor(const Peer& peer, ConnectionNeed need);
+  TrunkConnection* selectEvicted(const Peer& peer, ConnectionNeed need) const;
+  double maxTrunkConnections() const;
   void dropConnection(TrunkConnection& connection, InviteOutcome outcomeIfUnsent);
   void onConnectFailed(Peer& peer, bool refused);
   void retirePeer(Peer& peer);
   void dropEstablishedCalls(Peer& peer, Instant before);
   void maintainTrunks();
+  void closeStaleConnections(Peer& peer);
+  void contactPeersWithCalls();
+  bool isContactDue(const Peer& peer) const;
+  bool lacksConnection(const Peer& peer) const;
+  bool hasRecentRelease(const TrunkConnection& connection) const;
+  void dropCallsIfDead(Peer& peer);
+  void maintainStandby(Peer& peer);
 
   void finishSetup(Call& call, MessageKind kind, const Fields& fields, int cause, std::string_view description = {});
   void applyEvents(const std::vector<BulletinEvent>& events);
--- a/src/platform/trunks.cpp
+++ b/src/platform/trunks.cpp
@@ -2,6 +2,7 @@
 // which exchanges have ended.
 
 #include <algorithm>
+#include <tuple>
 
 #include "platform/connections.hpp"
 #include "platform/softswitch.hpp"
@@ -31,6 +32,14 @@
 constexpr Span kSilenceBeforeCheck = Span::ms(1500);
 constexpr Span kLivenessCheckInterval = Span::ms(800);
 constexpr Span kVanishedAfter = Span::ms(5000);
+// Failed connection attempts in a row, since it was last alive, after which a silent exchange counts as vanished.
+constexpr int kFailedConnectsIfVanished = 2;
+// Connections above the share that are kept for the established calls of silent exchanges, for when every other one
+// carries a set-up.
+constexpr double kReservedTrunkConnections = 4;
+// With more exchanges than connections, an exchange's only connection is closed for another exchange no earlier than
+// this. Until then the exchange has reported its load and what it has to release.
+constexpr Span kMinConnectionTime = Span::ms(500);
 
 }  // namespace
 
@@ -44,31 +53,67 @@
   if (!anyConnected) peer.refusedSince = std::min(peer.refusedSince, now_);
 }
 
-// Makes room for the first connection to an exchange: the exchange with the most connections loses an idle one.
-bool Softswitch::evictIdleConnectionFor(const Peer& peer) {
-  if (!peer.connections.empty()) return false;
-  Peer* largest = nullptr;
-  TrunkConnection* evicted = nullptr;
+double Softswitch::maxTrunkConnections() const { return kTrunkShare * deployment_.maxConnections; }
+
+// Whether a release on a connection may not have arrived yet, so that it would be repeated if the connection ended.
+bool Softswitch::hasRecentRelease(const TrunkConnection& connection) const {
+  return !connection.sentReleases.empty() && now_ - connection.sentReleases.back().sentAt < kReleaseRepeatWindow;
+}
+
+// Selects the idle connection that is closed at the limits for one to `peer`; nullptr if there is none. An exchange
+// with several connections loses one before any loses its only one.
+TrunkConnection* Softswitch::selectEvicted(const Peer& peer, ConnectionNeed need) const {
+  enum Rank { ownSpare, othersSpare, ownOnly, onlyWithoutCalls, onlyWithCalls };
+  const bool isPeerFull = peer.connections.size() >= kMaxConnectionsPerPeer;
+  struct Candidate {
+    Rank rank;
+    std::size_t spares;  // connections of its exchange; the exchange with the most loses one
+    TrunkConnection* connection;
+    auto key() const { return std::tuple(rank, -static_cast<std::ptrdiff_t>(spares), connection->lastReceivedAt); }
+  };
+  std::vector<Candidate> candidates;
   for (const auto& [id, listed] : registry_.all()) {
-    auto& other = static_cast<Peer&>(*listed);
-    if (other.connections.size() < 2 || (largest != nullptr && other.connections.size() <= largest->connections.size()))
-      continue;
-    const auto idle = std::find_if(other.connections.begin(), other.connections.end(), [](const auto& connection) {
-      return connection->invitedCalls.empty() && !connection->stream->hasUnreadData();
-    });
-    if (idle == other.connections.end()) continue;
-    largest = &other;
-    evicted = idle->get();
+    const auto& other = static_cast<const Peer&>(*listed);
+    const bool isOwn = &other == &peer, isSpare = other.connections.size() > 1;
+    // A silent connection of the exchange itself is of no use to its calls.
+    if (isOwn ? need != ConnectionNeed::calls : isPeerFull) continue;
+    if (!isOwn && need != ConnectionNeed::calls && !peer.connections.empty()) continue;
+    if (!isOwn && need == ConnectionNeed::standby && !isSpare) continue;
+    const bool hasCalls = !other.establishedCalls.empty() || !other.pendingReleases.empty();
+    const Rank rank = isOwn      ? (isSpare ? ownSpare : ownOnly)
+                      : isSpare  ? othersSpare
+                      : hasCalls ? onlyWithCalls
+                                 : onlyWithoutCalls;
+    for (const auto& connection : other.connections) {
+      if (!connection->isIdle() || hasRecentRelease(*connection)) continue;
+      if (rank >= onlyWithoutCalls && now_ - connection->connectStartedAt < kMinConnectionTime) continue;
+      candidates.push_back({rank, other.connections.size(), connection.get()});
+    }
+  }
+  while (!candidates.empty()) {
+    const auto next = std::min_element(candidates.begin(), candidates.end(),
+                                       [](const Candidate& a, const Candidate& b) { return a.key() < b.key(); });
+    if (!next->connection->stream->hasUnreadData()) return next->connection;
+    candidates.erase(next);
+  }
+  return nullptr;
+}
+
+// Returns whether a connection to `peer` may be opened, after closing another one if a limit is reached.
+bool Softswitch::makeRoomFor(const Peer& peer, ConnectionNeed need) {
+  const auto count = static_cast<double>(trunkConnectionCount_);
+  if (peer.connections.size() < kMaxConnectionsPerPeer && count < maxTrunkConnections()) return true;
+  if (TrunkConnection* evicted = selectEvicted(peer, need)) {
+    dropConnection(*evicted, InviteOutcome::unreachable);
+    return true;
   }
-  if (evicted == nullptr) return false;
-  dropConnection(*evicted, InviteOutcome::unreachable);
-  return true;
+  // Every other connection carries a set-up.
+  return need == ConnectionNeed::calls && count < maxTrunkConnections() + kReservedTrunkConnections &&
+         peer.connections.size() < kMaxConnectionsPerPeer + 1;
 }
 
-TrunkConnection* Softswitch::openConnection(Peer& peer) {
-  if (static_cast<double>(trunkConnectionCount_) >= kTrunkShare * deployment_.maxConnections &&
-      !evictIdleConnectionFor(peer))
-    return nullptr;
+TrunkConnection* Softswitch::openConnection(Peer& peer, ConnectionNeed need) {
+  if (!makeRoomFor(peer, need)) return nullptr;
   Stream* stream = connector_->connect(peer.address);
   if (stream == nullptr) return nullptr;
   ++counters_.connectAttempts;
@@ -100,7 +145,7 @@
     for (const auto& connection : peer.connections) {
       if (!connection->connected && connection->invitedCalls.empty()) return connection.get();
     }
-    if (TrunkConnection* connection = openConnection(peer)) return connection;
+    if (TrunkConnection* connection = openConnection(peer, ConnectionNeed::setup)) return connection;
   }
   for (const auto& connection : peer.connections) {
     if (connection->suspect) continue;
@@ -154,49 +199,90 @@
   }
 }
 
-void Softswitch::maintainTrunks() {
+void Softswitch::closeStaleConnections(Peer& peer) {
+  for (std::size_t i = peer.connections.size(); i-- > 0;) {
+    TrunkConnection& connection = *peer.connections[i];
+    if (!connection.connected) withdrawInvites(connection);
+    if (!connection.connected && now_ - connection.connectStartedAt > deployment_.connectTimeout) {
+      onConnectFailed(peer, false);
+      dropConnection(connection, InviteOutcome::unreachable);
+    } else if (connection.suspect && connection.invitedCalls.empty() &&
+               now_ - connection.lastRequestAt > kSuspectTimeout) {
+      dropConnection(connection, InviteOutcome::unreachable);
+      peer.nextConnectAt = now_;
+    } else if (connection.isIdle() && peer.connections.size() > kSpareTrunkConnections &&
+               now_ - connection.lastReceivedAt > kTrunkIdleTimeout) {
+      dropConnection(connection, InviteOutcome::unreachable);
+    }
+  }
+}
+
+// Whether an exchange that has no usable connection may be connected to, as far as its back-off goes.
+bool Softswitch::lacksConnection(const Peer& peer) const {
+  return peer.nextConnectAt <= now_ && peer.connections.size() < kMaxConnectionsPerPeer &&
+         std::none_of(peer.connections.begin(), peer.connections.end(),
+                      [](const auto& connection) { return !connection->suspect; });
+}
+
+// Whether calls need a new connection to an exchange: it is owed a release and has no connection, or it is silent and
+// has established calls, so that it may have vanished or have releases that it could not send.
+bool Softswitch::isContactDue(const Peer& peer) const {
+  if (peer.own || !peer.hasProcess()) return false;
+  if (!peer.pendingReleases.empty() && lacksConnection(peer)) return true;
+  return !peer.establishedCalls.empty() && now_ - peer.lastAliveAt > kSilenceBeforeCheck &&
+         now_ - peer.contactedAt > kLivenessCheckInterval;
+}
+
+// Opens a connection to each exchange whose calls need one, to the one first that was not contacted for longest.
+void Softswitch::contactPeersWithCalls() {
+  std::vector<Peer*> due;
   for (const auto& [id, listed] : registry_.all()) {
     auto& peer = static_cast<Peer&>(*listed);
-    if (peer.own) continue;
-    for (std::size_t i = peer.connections.size(); i-- > 0;) {
-      TrunkConnection& connection = *peer.connections[i];
-      if (!connection.connected) withdrawInvites(connection);
-      if (!connection.connected && now_ - connection.connectStartedAt > deployment_.connectTimeout) {
-        onConnectFailed(peer, false);
-        dropConnection(connection, InviteOutcome::unreachable);
-      } else if (connection.suspect && connection.invitedCalls.empty() &&
-                 now_ - connection.lastRequestAt > kSuspectTimeout) {
-        dropConnection(connection, InviteOutcome::unreachable);
-        peer.nextConnectAt = now_;
-      } else if (connection.connected && connection.invitedCalls.empty() &&
-                 peer.connections.size() > kSpareTrunkConnections &&
-                 now_ - connection.lastReceivedAt > kTrunkIdleTimeout) {
-        dropConnection(connection, InviteOutcome::unreachable);
-      }
-    }
-    if (peer.refusedSince != Instant::never() && now_ - peer.refusedSince > kDeadAfterRefusals)
-      dropEstablishedCalls(peer, Instant::never());
-    if (!peer.hasProcess()) continue;
-    const Span silence = now_ - peer.lastAliveAt;
-    if (!peer.establishedCalls.empty() && silence > kSilenceBeforeCheck &&
-        now_ - peer.livenessCheckedAt > kLivenessCheckInterval) {
-      peer.livenessCheckedAt = now_;
-      if (peer.connections.size() < kMaxConnectionsPerPeer) openConnection(peer);
+    if (isContactDue(peer)) due.push_back(&peer);
+  }
+  std::stable_sort(due.begin(), due.end(),
+                   [](const Peer* a, const Peer* b) { return a->contactedAt < b->contactedAt; });
+  for (Peer* peer : due) {
+    if (openConnection(*peer, ConnectionNeed::calls) != nullptr) {
+      peer->contactedAt = now_;
+    } else if (peer->connections.size() <= kMaxConnectionsPerPeer) {
+      break;  // there is no room for any of them
     }
-    if (silence > kVanishedAfter && peer.failedConnects >= 2) dropEstablishedCalls(peer, Instant::never());
-    const bool isWanted =
-        peer.readiness == Readiness::ready || !peer.establishedCalls.empty() || !peer.pendingReleases.empty();
-    const bool hasUsable = std::any_of(peer.connections.begin(), peer.connections.end(),
-                                       [](const auto& connection) { return !connection->suspect; });
-    if (isWanted && !hasUsable && peer.connections.size() < kMaxConnectionsPerPeer && peer.nextConnectAt <= now_)
-      openConnection(peer);
-    if (peer.readiness == Readiness::gone && peer.establishedCalls.empty()) {
-      peer.pendingReleases.clear();
-      for (std::size_t i = peer.connections.size(); i-- > 0;) {
-        if (peer.connections[i]->invitedCalls.empty()) dropConnection(*peer.connections[i], InviteOutcome::unreachable);
-      }
+  }
+}
+
+// Drops the calls of an exchange that refuses connections or whose machine has vanished.
+void Softswitch::dropCallsIfDead(Peer& peer) {
+  const bool isRefusing = peer.refusedSince != Instant::never() && now_ - peer.refusedSince > kDeadAfterRefusals;
+  const bool hasVanished = now_ - peer.lastAliveAt > kVanishedAfter && peer.failedConnects >= kFailedConnectsIfVanished;
+  if (isRefusing || hasVanished) dropEstablishedCalls(peer, Instant::never());
+}
+
+// Keeps a connection to each exchange that is in service or has calls, and none to one that has gone.
+void Softswitch::maintainStandby(Peer& peer) {
+  if (!peer.hasProcess()) return;
+  const bool isWanted =
+      peer.readiness == Readiness::ready || !peer.establishedCalls.empty() || !peer.pendingReleases.empty();
+  if (isWanted && lacksConnection(peer)) openConnection(peer, ConnectionNeed::standby);
+  if (peer.readiness == Readiness::gone && peer.establishedCalls.empty()) {
+    peer.pendingReleases.clear();
+    for (std::size_t i = peer.connections.size(); i-- > 0;) {
+      if (peer.connections[i]->invitedCalls.empty()) dropConnection(*peer.connections[i], InviteOutcome::unreachable);
     }
   }
 }
 
+void Softswitch::maintainTrunks() {
+  std::vector<Peer*> peers;
+  for (const auto& [id, listed] : registry_.all()) {
+    if (!listed->own) peers.push_back(static_cast<Peer*>(listed.get()));
+  }
+  for (Peer* peer : peers) {
+    closeStaleConnections(*peer);
+    dropCallsIfDead(*peer);
+  }
+  contactPeersWithCalls();
+  for (Peer* peer : peers) maintainStandby(*peer);
+}
+
 }  // namespace thistlefold::platform
--- a/tests/program/platform_fixture.hpp
+++ b/tests/program/platform_fixture.hpp
@@ -55,7 +55,7 @@
 
 /// A softswitch with two exchanges besides its own. After construction all its connections are established and both
 /// exchanges have reported their trunk groups.
-struct SoftswitchFixture final : StreamConnector {
+struct SoftswitchFixture : StreamConnector {
   static Deployment makeDeployment(int descriptors, std::size_t memory) {
     Deployment deployment = readDeployment(deploymentText(descriptors));
     deployment.memoryBytes = memory;
