A vanished machine is found in time whatever the connect timeout

What callers saw: with a long ConnectTimeout in the settings, calls at a vanished machine were not released within 8 s.

Cause: only failed attempts count against a silent machine, and they fail no sooner than the deployment's connect timeout.

Change: an attempt pending for 1.5 s counts as well (kLateConnect).

Measured: the new test fails before at 30 s (0 releases instead of 1; 0.5 s and 3 s held) and passes.

--- a/src/platform/trunks.cpp
+++ b/src/platform/trunks.cpp
@@ -32,8 +32,10 @@
 constexpr Span kSilenceBeforeCheck = Span::ms(1500);
 constexpr Span kLivenessCheckInterval = Span::ms(800);
 constexpr Span kVanishedAfter = Span::ms(5000);
-// Failed connection attempts in a row, since it was last alive, after which a silent exchange counts as vanished.
-constexpr int kFailedConnectsIfVanished = 2;
+// Connection attempts since it was last alive that have failed, or have been pending for kLateConnect, after which a
+// silent exchange counts as vanished. The deployment's connect timeout may be longer than callers can wait.
+constexpr std::ptrdiff_t kFailedConnectsIfVanished = 2;
+constexpr Span kLateConnect = Span::ms(1500);
 // Connections above the share that are kept for the established calls of silent exchanges, for when every other one
 // carries a set-up.
 constexpr double kReservedTrunkConnections = 4;
@@ -254,7 +256,12 @@
 // Drops the calls of an exchange that refuses connections or whose machine has vanished.
 void Softswitch::dropCallsIfDead(Peer& peer) {
   const bool isRefusing = peer.refusedSince != Instant::never() && now_ - peer.refusedSince > kDeadAfterRefusals;
-  const bool hasVanished = now_ - peer.lastAliveAt > kVanishedAfter && peer.failedConnects >= kFailedConnectsIfVanished;
+  const auto lateConnects =
+      std::count_if(peer.connections.begin(), peer.connections.end(), [this](const auto& connection) {
+        return !connection->connected && now_ - connection->connectStartedAt > kLateConnect;
+      });
+  const bool hasVanished =
+      now_ - peer.lastAliveAt > kVanishedAfter && peer.failedConnects + lateConnects >= kFailedConnectsIfVanished;
   if (isRefusing || hasVanished) dropEstablishedCalls(peer, Instant::never());
 }
 
--- a/tests/program/platform_fixture.hpp
+++ b/tests/program/platform_fixture.hpp
@@ -56,13 +56,15 @@
 /// A softswitch with two exchanges besides its own. After construction all its connections are established and both
 /// exchanges have reported their trunk groups.
 struct SoftswitchFixture : StreamConnector {
-  static Deployment makeDeployment(int descriptors, std::size_t memory) {
+  static Deployment makeDeployment(int descriptors, std::size_t memory, Span connectTimeout) {
     Deployment deployment = readDeployment(deploymentText(descriptors));
     deployment.memoryBytes = memory;
+    deployment.connectTimeout = connectTimeout;
     return deployment;
   }
-  explicit SoftswitchFixture(int descriptors = 256, std::size_t memory = 32 << 20)
-      : softswitch(makeDeployment(descriptors, memory), now, *this, makeController, [](std::string_view) {}) {
+  explicit SoftswitchFixture(int descriptors = 256, std::size_t memory = 32 << 20, Span connectTimeout = Span::ms(500))
+      : softswitch(makeDeployment(descriptors, memory, connectTimeout), now, *this, makeController,
+                   [](std::string_view) {}) {
     advance(250);
     completeConnects();
     advance(25);
--- a/tests/program/platform_releases.cpp
+++ b/tests/program/platform_releases.cpp
@@ -244,3 +244,18 @@
     CHECK(countReleases(refusedCaller, kFirstId) == 1);
   }
 }
+
+// Guards against the end of a call being noticed later than callers may wait because connection attempts may take long.
+TEST_CASE("platform: a vanished machine is found in time whatever the connect timeout") {
+  for (const double timeoutMs : {500.0, 3000.0, 30000.0}) {
+    CAPTURE(timeoutMs);
+    SoftswitchFixture fixture(256, 32 << 20, Span::ms(timeoutMs));
+    fixture.establishCall(fixture.acceptCaller(), kFirstId);
+    FakeStream& caller = fixture.acceptCaller();
+    nameCall(fixture, caller, kSecondId, "s-00000002");
+    fixture.advance(5900);
+    fixture.deliver(caller, R"({"type":"ping","id":")" + kThirdId + R"(","fields":{},"cause":0})");
+    fixture.advance(2100);
+    CHECK(countReleases(caller, kSecondId) == 1);
+  }
+}
