An old refusal does not end a call that is named later

What callers saw: a call standing at a draining exchange was released when it was named, if the exchange had refused a connection before it drained; caller and exchange did not agree.

Cause: refusedSince stays when an exchange is not tried any more, so the second of refusals had passed before the first attempt for the call.

Change: it is forgotten while no connection is wanted.

--- a/src/platform/trunks.cpp
+++ b/src/platform/trunks.cpp
@@ -270,6 +270,7 @@
   if (!peer.hasProcess()) return;
   const bool isWanted =
       peer.readiness == Readiness::ready || !peer.establishedCalls.empty() || !peer.pendingReleases.empty();
+  if (!isWanted) peer.refusedSince = Instant::never();  // nothing is tried, so it says nothing about later calls
   if (isWanted && lacksConnection(peer)) openConnection(peer, ConnectionNeed::standby);
   if (peer.readiness == Readiness::gone && peer.establishedCalls.empty()) {
     peer.pendingReleases.clear();
--- a/tests/program/platform_releases.cpp
+++ b/tests/program/platform_releases.cpp
@@ -259,3 +259,22 @@
     CHECK(countReleases(caller, kSecondId) == 1);
   }
 }
+
+// Guards against a refusal from before a call was named ending that call at once: an exchange that is not in service is
+// not tried, so an old refusal is no evidence.
+TEST_CASE("platform: a call named at an exchange that refused connections earlier is kept while it accepts them") {
+  SoftswitchFixture fixture;
+  publish(fixture, 8, encodeRecord(77, kOtherAddress, 0, 3));
+  fixture.advance(30);
+  const auto outgoing = fixture.outgoingStreams(kOtherAddress);
+  REQUIRE(!outgoing.empty());
+  for (FakeStream* stream : outgoing) endStream(fixture, *stream, CloseReason::refused);
+  publish(fixture, 9, encodeRecord(77, kOtherAddress, 1, 3));
+  fixture.advance(3000);
+  FakeStream& caller = fixture.acceptCaller();
+  nameCall(fixture, caller, kFirstId, "s-0000004d");
+  fixture.advance(100);
+  for (FakeStream* stream : fixture.outgoingStreams(kOtherAddress)) fixture.completeConnect(*stream);
+  fixture.advance(1200);
+  CHECK(countReleases(caller, kFirstId) == 0);
+}
