A release that crosses the softswitch's own close of a connection is not thrown away

What callers saw: a call's release was never heard if the exchange sent it on a connection that the softswitch was closing at that moment (idle, suspect, or for room), unless another connection was opened there soon.

Cause: after close() the runner read on for half a second, lest the system send a reset, and discarded what came. The exchange sends a release on one open connection, and again only on the next one opened; one that talks on its other connections is not silent, so none is opened for its calls.

Change: Stream::closeAndDrain() passes what arrives in the linger time on; the softswitch takes releases of established calls from it and nothing else. The wire is as before. onExchangeRelease() is now the one place for such releases.

--- a/src/net/stream_runner.cpp
+++ b/src/net/stream_runner.cpp
@@ -24,10 +24,10 @@
 // the stream.
 constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
 constexpr int kMaxConsecutiveReads = 8;
-// Linger time for the delivery of the last data after close(). Data received meanwhile is read and discarded up to a
-// limit; if it stayed unread, the system would send a reset, which could overtake the last data.
+// Linger time for the delivery of the last data after close(). Data received meanwhile is read up to a limit; if it
+// stayed unread, the system would send a reset, which could overtake the last data.
 constexpr auto kLinger = std::chrono::milliseconds(500);
-constexpr std::size_t kMaxDiscardedBytes = std::size_t{256} * 1024;
+constexpr std::size_t kMaxLateBytes = std::size_t{256} * 1024;
 
 tcp::endpoint endpoint(iax2::Address at) { return {asio::ip::address_v4(at.ip), at.port}; }
 
@@ -122,6 +122,10 @@
     runner_->closing.push_back(weak_from_this());
     asio::co_spawn(runner_->executor, runLinger(shared_from_this()), asio::detached);
   }
+  void closeAndDrain(LateDataHandler onLateData) override {
+    if (!closed_) onLateData_ = std::move(onLateData);
+    close();
+  }
   void abort() override {
     closed_ = true;
     closeSocket();
@@ -189,8 +193,8 @@
     }
   }
 
-  /// Sends the queued bytes, half-closes, and discards received data until the remote end closes or the linger time is
-  /// over.
+  /// Sends the queued bytes, half-closes, and reads until the remote end closes or the linger time is over. Received
+  /// data goes to the late data handler, if there is one, or is discarded.
   static asio::awaitable<void> runLinger(std::shared_ptr<TcpStream> self) {
     asio::steady_timer timer(self->runner_->executor, kLinger);
     timer.async_wait([self](const Error& error) {
@@ -205,18 +209,26 @@
       self->outgoing_.erase(0, sent);
     }
     self->socket_.shutdown(tcp::socket::shutdown_send, error);
-    std::size_t discarded = 0;
-    while (self->socket_.is_open() && discarded < kMaxDiscardedBytes) {
+    std::size_t lateBytes = 0;
+    while (self->socket_.is_open() && lateBytes < kMaxLateBytes) {
       co_await self->socket_.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
       if (error || !self->socket_.is_open()) break;
       const std::size_t received = self->socket_.read_some(asio::buffer(self->runner_->buffer), error);
       if (error && error != asio::error::would_block) break;
-      discarded += received;
+      lateBytes += received;
+      self->passLateData(received);
     }
     timer.cancel();
     self->closeSocket();
   }
 
+  /// Passes bytes from the buffer to the late data handler.
+  void passLateData(std::size_t received) {
+    if (received == 0 || onLateData_ == nullptr) return;
+    runner_->callGuarded([&] { onLateData_(runner_->clock->now(), {runner_->buffer.data(), received}); });
+    StreamRunner::State::scheduleRound(runner_);
+  }
+
   void reportClosed(const Error& error) {
     if (closed_) return;
     closed_ = true;
@@ -240,6 +252,7 @@
   std::shared_ptr<StreamRunner::State> runner_;
   tcp::socket socket_;
   std::string outgoing_;
+  LateDataHandler onLateData_;
   bool connected_ = false;
   bool closed_ = false;
 };
--- a/src/platform/exchanges.cpp
+++ b/src/platform/exchanges.cpp
@@ -128,13 +128,7 @@
   if (message->kind != MessageKind::answer && message->kind != MessageKind::release) return;
   const auto it = calls_.find(message->id);
   Call* call = it == calls_.end() ? nullptr : it->second.get();
-  if (call == nullptr || call->state == Call::State::finished) {
-    if (call == nullptr && message->kind == MessageKind::release)
-      endedCalls_.add(message->id, message->cause.value_or(kCauseTemporaryFailure), now_);
-    return;
-  }
-  const bool isInvitedHere = call->state == Call::State::invited && call->trunk == &connection;
-  const bool isEstablishedHere = call->state == Call::State::established && call->peer == connection.peer;
+  const bool isInvitedHere = call != nullptr && call->state == Call::State::invited && call->trunk == &connection;
   if (message->kind == MessageKind::answer) {
     if (!isInvitedHere) return;  // a duplicate, or not for a call on this connection
     if (message->description.empty()) {
@@ -144,9 +138,26 @@
     return onAnswer(connection, *call, message->description);
   }
   if (isInvitedHere) return onInviteRejected(connection, *call, *message);
-  if (isEstablishedHere) {
-    const int cause = message->cause.value_or(kCauseTemporaryFailure);
-    endEstablishedCall(*call, cause == kCauseNormalClearing ? InviteOutcome::released : InviteOutcome::reset, cause);
+  onExchangeRelease(*connection.peer, *message);
+}
+
+// Handles an exchange's release of a call that is established there, or that no caller has named yet.
+void Softswitch::onExchangeRelease(const Peer& peer, const Message& message) {
+  const int cause = message.cause.value_or(kCauseTemporaryFailure);
+  const auto it = calls_.find(message.id);
+  if (it == calls_.end()) return endedCalls_.add(message.id, cause, now_);
+  Call& call = *it->second;
+  if (call.state != Call::State::established || call.peer != &peer) return;
+  endEstablishedCall(call, cause == kCauseNormalClearing ? InviteOutcome::released : InviteOutcome::reset, cause);
+}
+
+// Handles what an exchange sent before it noticed that its connection was closed. Only releases of established calls
+// matter then: set-ups on the connection were given up with it.
+void Softswitch::onLateExchangeData(Peer& peer, LineReader& reader, std::string_view bytes) {
+  if (!reader.add(bytes)) return;
+  while (const auto line = reader.next()) {
+    const auto message = line->size() <= kMaxMessageBytes ? readMessage(*line) : std::nullopt;
+    if (message && message->kind == MessageKind::release) onExchangeRelease(peer, *message);
   }
 }
 
--- a/src/platform/softswitch.hpp
+++ b/src/platform/softswitch.hpp
@@ -103,6 +103,8 @@
 
   // Exchanges (exchanges.cpp)
   void onExchangeMessage(TrunkConnection& connection, std::string_view line);
+  void onExchangeRelease(const Peer& peer, const Message& message);
+  void onLateExchangeData(Peer& peer, LineReader& reader, std::string_view bytes);
   void onLoadReport(Peer& peer, const Message& message);
   void onAnswer(TrunkConnection& connection, Call& call, const std::string& description);
   void onInviteRejected(TrunkConnection& connection, Call& call, const Message& message);
--- a/src/platform/trunks.cpp
+++ b/src/platform/trunks.cpp
@@ -162,7 +162,14 @@
   Peer& peer = *connection.peer;
   const bool wasConnected = connection.connected;
   connection.connected = false;
-  if (connection.stream != nullptr) connection.stream->close();
+  if (connection.stream != nullptr) {
+    // The exchange may just be sending a call's release, which it sends on no other connection that is open.
+    connection.stream->closeAndDrain(
+        [this, &peer, reader = connection.reader](Instant now, std::string_view bytes) mutable {
+          now_ = now;
+          onLateExchangeData(peer, reader, bytes);
+        });
+  }
   connection.stream = nullptr;
   const auto invitedCalls = std::move(connection.invitedCalls);
   connection.invitedCalls.clear();
--- a/src/stream_handler.hpp
+++ b/src/stream_handler.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <string_view>
 
 #include "iax2/address.hpp"
@@ -30,6 +31,11 @@
   virtual bool hasUnreadData() const { return false; }
   /// Closes once the bytes sent so far were delivered, within a bounded linger time. No further callback follows.
   virtual void close() = 0;
+  /// Receives bytes that the remote end sent before it noticed that the stream was closed.
+  using LateDataHandler = std::function<void(Instant now, std::string_view bytes)>;
+  /// Closes like close(). What is unread by then, or arrives within the linger time, is passed to `onLateData`, which
+  /// must not use the stream, followed by a round. The total is limited; the rest is discarded.
+  virtual void closeAndDrain(LateDataHandler onLateData) = 0;
   /// Closes at once; queued bytes are discarded. No further callback follows.
   virtual void abort() = 0;
 
--- a/tests/program/platform_fixture.hpp
+++ b/tests/program/platform_fixture.hpp
@@ -17,9 +17,14 @@
   iax2::Address remote;  // default value: a caller
   std::string sentBytes;
   bool closed = false;
+  LateDataHandler onLateData;
   void send(std::string_view bytes) override { sentBytes += bytes; }
   std::size_t unsentBytes() const override { return 0; }
   void close() override { closed = true; }
+  void closeAndDrain(LateDataHandler handler) override {
+    closed = true;
+    onLateData = std::move(handler);
+  }
   void abort() override { closed = true; }
   /// Messages of one kind that were sent, in order.
   std::vector<Message> sent(MessageKind kind) const {
--- a/tests/program/platform_releases.cpp
+++ b/tests/program/platform_releases.cpp
@@ -278,3 +278,27 @@
   fixture.advance(1200);
   CHECK(countReleases(caller, kFirstId) == 0);
 }
+
+// Guards against a release lost because its connection was closed here, as idle, while the exchange was sending it.
+TEST_CASE("platform: a release that arrives on a connection that is being closed reaches its caller, noise does not") {
+  SoftswitchFixture fixture;
+  FakeStream& caller = fixture.acceptCaller();
+  FakeStream& trunk = fixture.establishCall(caller, kFirstId);
+  fixture.establishCall(caller, kSecondId);
+  // A set-up that goes unanswered makes its connection suspect, so that it is closed.
+  fixture.sendSetup(caller, kThirdId);
+  REQUIRE(fixture.invitedStream(kThirdId) == &trunk);
+  for (int i = 0; i < 60 && !trunk.closed; ++i) {
+    fixture.advance(100);
+    fixture.deliver(caller, R"({"type":"ping","id":")" + kThirdId + R"(","fields":{},"cause":0})");
+  }
+  REQUIRE(trunk.closed);
+  REQUIRE(trunk.onLateData);
+  const std::string line = R"({"type":"release","id":")" + kFirstId + R"(","fields":{},"cause":16})" + "\n";
+  trunk.onLateData(fixture.now, "noise\n" + line.substr(0, 20));
+  CHECK(countReleases(caller, kFirstId) == 0);
+  trunk.onLateData(fixture.now, line.substr(20) + R"({"type":"answer","id":")" + kSecondId + "\"}\n");
+  fixture.advance(1);
+  CHECK(countReleases(caller, kFirstId) == 1);
+  CHECK(countReleases(caller, kSecondId) == 0);
+}
--- a/tests/program/streams.cpp
+++ b/tests/program/streams.cpp
@@ -252,3 +252,28 @@
   caller.close();
   CHECK(fixture.runUntil([&] { return fixture.streams.connectionCount() == 0; }));
 }
+
+// Guards against a call's release being read and thrown away because it crossed the softswitch's close of its
+// connection.
+TEST_CASE("streams: an exchange's release that crosses the close of its connection reaches the caller") {
+  SoftswitchFixture fixture;
+  Socket caller = Socket::to(fixture.port);
+  caller.send(SoftswitchFixture::setupLine(kFirstId));
+  REQUIRE(fixture.runUntil([&] { return fixture.exchangeReceived(kFirstId); }));
+  Socket& trunk = fixture.trunkSockets.front();
+  trunk.send(R"({"type":"answer","id":")" + kFirstId + R"(","fields":{},"sdp":"a"})" + "\n");
+  std::string received;
+  REQUIRE(fixture.runUntil([&] {
+    received += caller.receiveAvailable();
+    return received.find("\"answer\",\"id\":\"" + kFirstId) != std::string::npos;
+  }));
+  // A set-up that goes unanswered makes the connection suspect, and the softswitch closes it.
+  caller.send(SoftswitchFixture::setupLine(kSecondId));
+  REQUIRE(fixture.runUntil([&] { return fixture.exchangeReceived(kSecondId); }));
+  REQUIRE(fixture.runUntil([&] { return fixture.trunkSockets.front().isClosed(); }));
+  fixture.trunkSockets.front().send(SoftswitchFixture::releaseLine(kFirstId));
+  CHECK(fixture.runUntil([&] {
+    received += caller.receiveAvailable();
+    return received.find("\"release\",\"id\":\"" + kFirstId) != std::string::npos;
+  }));
+}
