The reserve of connections for silent exchanges is given back after use

Cause: with the reserve in use, one connection was closed for each that was opened, so the number stayed above the share and the reserve was gone for the next time.

Change: room is made until the limits hold. The order in which connections are closed is named (EvictionRank) and parted from the search.

--- a/src/platform/connections.hpp
+++ b/src/platform/connections.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 // State that a softswitch keeps for its connections, the exchanges and the calls. Private to
-// softswitch.cpp, callers.cpp and exchanges.cpp.
+// softswitch.cpp, callers.cpp, caller_releases.cpp, exchanges.cpp and trunks.cpp.
 
 #include <memory>
 #include <string>
--- a/src/platform/trunks.cpp
+++ b/src/platform/trunks.cpp
@@ -2,6 +2,7 @@
 // which exchanges have ended.
 
 #include <algorithm>
+#include <optional>
 #include <tuple>
 
 #include "platform/connections.hpp"
@@ -43,6 +44,37 @@
 // this. Until then the exchange has reported its load and what it has to release.
 constexpr Span kMinConnectionTime = Span::ms(500);
 
+// Order in which connections are closed to make room at the limits: an exchange with several loses one before any loses
+// its only one. A silent connection of the exchange that room is made for is of no use to its calls.
+enum class EvictionRank { ownSpare, othersSpare, ownOnly, onlyWithoutCalls, onlyWithCalls };
+
+// The rank of the connections of `other` if room is made for one to `peer`; nullopt if they have to stay.
+std::optional<EvictionRank> evictionRank(const Peer& other, const Peer& peer, ConnectionNeed need) {
+  const bool isSpare = other.connections.size() > 1;
+  if (&other == &peer) {
+    if (need != ConnectionNeed::calls) return std::nullopt;
+    return isSpare ? EvictionRank::ownSpare : EvictionRank::ownOnly;
+  }
+  if (peer.connections.size() >= kMaxConnectionsPerPeer) return std::nullopt;
+  if (need != ConnectionNeed::calls && !peer.connections.empty()) return std::nullopt;
+  if (isSpare) return EvictionRank::othersSpare;
+  if (need == ConnectionNeed::standby) return std::nullopt;
+  const bool hasCalls = !other.establishedCalls.empty() || !other.pendingReleases.empty();
+  return hasCalls ? EvictionRank::onlyWithCalls : EvictionRank::onlyWithoutCalls;
+}
+
+// An idle connection that may be closed to make room; the least is closed first.
+struct EvictionCandidate {
+  EvictionRank rank;
+  std::size_t peerConnections;  // of its exchange; the one with the most loses one
+  TrunkConnection* connection;
+
+  bool operator<(const EvictionCandidate& other) const {
+    return std::tuple(rank, other.peerConnections, connection->lastReceivedAt) <
+           std::tuple(other.rank, peerConnections, other.connection->lastReceivedAt);
+  }
+};
+
 }  // namespace
 
 void Softswitch::onConnectFailed(Peer& peer, bool refused) {
@@ -62,56 +94,39 @@
   return !connection.sentReleases.empty() && now_ - connection.sentReleases.back().sentAt < kReleaseRepeatWindow;
 }
 
-// Selects the idle connection that is closed at the limits for one to `peer`; nullptr if there is none. An exchange
-// with several connections loses one before any loses its only one.
+// Selects the idle connection that is closed at the limits for one to `peer`; nullptr if there is none.
 TrunkConnection* Softswitch::selectEvicted(const Peer& peer, ConnectionNeed need) const {
-  enum Rank { ownSpare, othersSpare, ownOnly, onlyWithoutCalls, onlyWithCalls };
-  const bool isPeerFull = peer.connections.size() >= kMaxConnectionsPerPeer;
-  struct Candidate {
-    Rank rank;
-    std::size_t spares;  // connections of its exchange; the exchange with the most loses one
-    TrunkConnection* connection;
-    auto key() const { return std::tuple(rank, -static_cast<std::ptrdiff_t>(spares), connection->lastReceivedAt); }
-  };
-  std::vector<Candidate> candidates;
+  std::vector<EvictionCandidate> candidates;
   for (const auto& [id, listed] : registry_.all()) {
     const auto& other = static_cast<const Peer&>(*listed);
-    const bool isOwn = &other == &peer, isSpare = other.connections.size() > 1;
-    // A silent connection of the exchange itself is of no use to its calls.
-    if (isOwn ? need != ConnectionNeed::calls : isPeerFull) continue;
-    if (!isOwn && need != ConnectionNeed::calls && !peer.connections.empty()) continue;
-    if (!isOwn && need == ConnectionNeed::standby && !isSpare) continue;
-    const bool hasCalls = !other.establishedCalls.empty() || !other.pendingReleases.empty();
-    const Rank rank = isOwn      ? (isSpare ? ownSpare : ownOnly)
-                      : isSpare  ? othersSpare
-                      : hasCalls ? onlyWithCalls
-                                 : onlyWithoutCalls;
+    const auto rank = evictionRank(other, peer, need);
+    if (!rank) continue;
     for (const auto& connection : other.connections) {
       if (!connection->isIdle() || hasRecentRelease(*connection)) continue;
-      if (rank >= onlyWithoutCalls && now_ - connection->connectStartedAt < kMinConnectionTime) continue;
-      candidates.push_back({rank, other.connections.size(), connection.get()});
+      if (*rank >= EvictionRank::onlyWithoutCalls && now_ - connection->connectStartedAt < kMinConnectionTime) continue;
+      candidates.push_back({*rank, other.connections.size(), connection.get()});
     }
   }
-  while (!candidates.empty()) {
-    const auto next = std::min_element(candidates.begin(), candidates.end(),
-                                       [](const Candidate& a, const Candidate& b) { return a.key() < b.key(); });
-    if (!next->connection->stream->hasUnreadData()) return next->connection;
-    candidates.erase(next);
-  }
-  return nullptr;
+  std::sort(candidates.begin(), candidates.end());
+  const auto evicted = std::find_if(candidates.begin(), candidates.end(), [](const EvictionCandidate& candidate) {
+    return !candidate.connection->stream->hasUnreadData();
+  });
+  return evicted == candidates.end() ? nullptr : evicted->connection;
 }
 
-// Returns whether a connection to `peer` may be opened, after closing another one if a limit is reached.
+// Returns whether a connection to `peer` may be opened, after closing others while a limit is reached.
 bool Softswitch::makeRoomFor(const Peer& peer, ConnectionNeed need) {
-  const auto count = static_cast<double>(trunkConnectionCount_);
-  if (peer.connections.size() < kMaxConnectionsPerPeer && count < maxTrunkConnections()) return true;
-  if (TrunkConnection* evicted = selectEvicted(peer, need)) {
+  const double limit = maxTrunkConnections();
+  while (peer.connections.size() >= kMaxConnectionsPerPeer || static_cast<double>(trunkConnectionCount_) >= limit) {
+    TrunkConnection* evicted = selectEvicted(peer, need);
+    if (evicted == nullptr) {
+      // Every other connection carries a set-up.
+      return need == ConnectionNeed::calls && peer.connections.size() <= kMaxConnectionsPerPeer &&
+             static_cast<double>(trunkConnectionCount_) < limit + kReservedTrunkConnections;
+    }
     dropConnection(*evicted, InviteOutcome::unreachable);
-    return true;
   }
-  // Every other connection carries a set-up.
-  return need == ConnectionNeed::calls && count < maxTrunkConnections() + kReservedTrunkConnections &&
-         peer.connections.size() < kMaxConnectionsPerPeer + 1;
+  return true;
 }
 
 TrunkConnection* Softswitch::openConnection(Peer& peer, ConnectionNeed need) {
--- a/tests/program/platform_connection_limits.cpp
+++ b/tests/program/platform_connection_limits.cpp
@@ -49,9 +49,11 @@
         for (const std::string& id : owedReleases[stream->remote.ip])
           deliver(*stream, R"({"type":"release","id":")" + id + R"(","fields":{},"cause":16})");
       }
-      maxTrunks = std::max(maxTrunks, outgoingStreams().size() - outgoingStreams(kBulletinAddress).size());
+      maxTrunks = std::max(maxTrunks, countTrunks());
     }
   }
+  /// Open connections to exchanges.
+  std::size_t countTrunks() { return outgoingStreams().size() - outgoingStreams(kBulletinAddress).size(); }
   std::size_t countReleases(const FakeStream& stream, const std::string& id) const {
     const auto releases = stream.sent(MessageKind::release);
     return static_cast<std::size_t>(
@@ -149,4 +151,10 @@
   const std::size_t before = fixture.outgoingStreams(kExchangeAddress).size();
   fixture.run(700);
   CHECK(fixture.outgoingStreams(kExchangeAddress).size() > before);
+  CHECK(fixture.countTrunks() > 17);
+  // The reserve is given back with the next connection that is opened for calls.
+  fixture.run(8000);
+  for (int i = 0; i < 20; ++i) fixture.sendSetup(caller, numberedId(100 + i), "dest:1;at:" + exchangeName(i));
+  fixture.run(3000);
+  CHECK(fixture.countTrunks() <= 17);
 }
