A release on a caller's connection that is not read is repeated on another

What callers saw: a release written to a connection whose client does not read stayed in its queue and was lost with it, also while other connections of callers were open and read.

Cause: after a second a release counted as heard, whether its bytes had left or not, and the choice of a connection did not look at what it had unsent.

Change: connections with unsent bytes come after others; what is not acknowledged on one, or by a client without calls, is repeated after 0.5 s on one that is trusted, and kept for ten seconds in case its connection ends.

--- a/src/platform/caller_releases.cpp
+++ b/src/platform/caller_releases.cpp
@@ -2,6 +2,7 @@
 // connection ends before the caller can have heard it. A call belongs to no connection, so any of its caller's will do.
 
 #include <algorithm>
+#include <tuple>
 
 #include "platform/connections.hpp"
 #include "platform/softswitch.hpp"
@@ -11,19 +12,21 @@
 
 // Releases kept while no caller is connected that could receive them.
 constexpr std::size_t kMaxUndeliveredReleases = 16384;
-// A release on a connection that never carried a call is repeated on one that did, unless it is acknowledged within
-// this time. The platform requires that callers are notified within one second.
+// A release on a connection that never carried a call, or that is not read, is repeated on one that did and is, unless
+// it is acknowledged within this time. The platform requires that callers are notified within one second.
 constexpr Span kAcknowledgementTimeout = Span::ms(500);
+// How long such a release is kept if there is no other connection.
+constexpr Span kMaxUnacknowledgedTime = Span::ms(10000);
 
 }  // namespace
 
 // Selects the connection for a release whose set-up's connection is closed: of those with the most evidence of a
-// caller, the one that sent a message last. Connections without a usable set-up, and those that sent an invalid message
-// before they had an established call, are strangers and must not learn of calls.
-CallerConnection* Softswitch::selectCaller() {
+// caller, the one that sent a message last, unless its client does not read. Connections without a usable set-up, and
+// those that sent an invalid message before they had an established call, are strangers and must not learn of calls.
+CallerConnection* Softswitch::selectCaller() const {
   CallerConnection* best = nullptr;
   const auto rank = [](const CallerConnection& connection) {
-    return std::pair(connection.evidence, connection.lastMessageAt);
+    return std::tuple(connection.evidence, connection.isRead(), connection.lastMessageAt);
   };
   for (const auto& connection : callers_) {
     if (connection->evidence == CallerEvidence::none) continue;
@@ -50,9 +53,7 @@
 
 // Repeats on another connection the releases that a closed one may not have delivered.
 void Softswitch::repeatReleases(const CallerConnection& closed) {
-  for (const SentRelease& release : closed.sentReleases) {
-    if (now_ - release.sentAt < kReleaseRepeatWindow) deliverRelease(nullptr, release.id, release.cause);
-  }
+  for (const SentRelease& release : closed.sentReleases) deliverRelease(nullptr, release.id, release.cause);
 }
 
 void Softswitch::maintainCallerReleases() {
@@ -62,17 +63,19 @@
   }
   for (const auto& connection : callers_) {
     if (connection->sentReleases.empty()) continue;
-    if (connection->evidence == CallerEvidence::establishedCall) {
-      std::erase_if(connection->sentReleases,
-                    [&](const SentRelease& release) { return now_ - release.sentAt > kReleaseRepeatWindow; });
-    } else if (CallerConnection* best = selectCaller();
-               best != nullptr && best->evidence == CallerEvidence::establishedCall) {
-      moveUnacknowledgedReleases(*connection, *best);
+    if (!connection->isTrusted()) {
+      CallerConnection* best = selectCaller();
+      if (best != nullptr && best->isTrusted()) moveUnacknowledgedReleases(*connection, *best);
     }
+    std::erase_if(connection->sentReleases, [&](const SentRelease& release) {
+      const Span age = now_ - release.sentAt;
+      return connection->isTrusted() ? age > kReleaseRepeatWindow : age > kMaxUnacknowledgedTime;
+    });
   }
 }
 
-// Repeats on `to` the releases that were not acknowledged on `from`, whose client may not be the caller.
+// Repeats on `to` the releases that were not acknowledged on `from`, which is not read or whose client may not be the
+// caller.
 void Softswitch::moveUnacknowledgedReleases(CallerConnection& from, CallerConnection& to) {
   std::erase_if(from.sentReleases, [&](const SentRelease& release) {
     if (now_ - release.sentAt < kAcknowledgementTimeout) return false;
--- a/src/platform/connections.hpp
+++ b/src/platform/connections.hpp
@@ -63,6 +63,11 @@
   int invalidMessages = 0;                ///< received so far
   std::size_t pendingSetups = 0;          ///< set-ups without a final answer
   std::vector<SentRelease> sentReleases;  ///< of established calls, written to it and not acknowledged yet
+
+  /// Whether the client has read, or has room for, all that was written.
+  bool isRead() const { return stream->unsentBytes() == 0; }
+  /// Whether a release that is written on it can be expected to reach the caller. Must not be called once it is closed.
+  bool isTrusted() const { return evidence == CallerEvidence::establishedCall && isRead(); }
 };
 
 /// What a new connection to an exchange is needed for, least urgent first. At the limits it decides what is closed for
--- a/src/platform/softswitch.hpp
+++ b/src/platform/softswitch.hpp
@@ -94,7 +94,7 @@
   void rejectStaleName(CallerConnection& connection, const std::string& id);
 
   // Releases towards callers (caller_releases.cpp)
-  CallerConnection* selectCaller();
+  CallerConnection* selectCaller() const;
   void deliverRelease(CallerConnection* connection, const std::string& id, int cause);
   void writeCallerRelease(CallerConnection& connection, const std::string& id, int cause);
   void repeatReleases(const CallerConnection& closed);
--- a/tests/program/platform_fixture.hpp
+++ b/tests/program/platform_fixture.hpp
@@ -17,9 +17,10 @@
   iax2::Address remote;  // default value: a caller
   std::string sentBytes;
   bool closed = false;
+  std::size_t unsent = 0;  ///< bytes that the remote end does not read
   LateDataHandler onLateData;
   void send(std::string_view bytes) override { sentBytes += bytes; }
-  std::size_t unsentBytes() const override { return 0; }
+  std::size_t unsentBytes() const override { return unsent; }
   void close() override { closed = true; }
   void closeAndDrain(LateDataHandler handler) override {
     closed = true;
--- a/tests/program/platform_releases.cpp
+++ b/tests/program/platform_releases.cpp
@@ -302,3 +302,28 @@
   CHECK(countReleases(caller, kFirstId) == 1);
   CHECK(countReleases(caller, kSecondId) == 0);
 }
+
+// Guards against a release queued for a client that does not read while its caller reads on another connection.
+TEST_CASE("platform: a release on a connection that is not read is repeated on another, at once or when it ends") {
+  for (const bool hasOther : {true, false}) {
+    CAPTURE(hasOther);
+    SoftswitchFixture fixture;
+    FakeStream& caller = fixture.acceptCaller();
+    FakeStream& trunk = fixture.establishCall(caller, kFirstId);
+    FakeStream* other = hasOther ? &fixture.acceptCaller() : nullptr;
+    if (hasOther) fixture.establishCall(*other, kSecondId);
+    caller.unsent = 5000;
+    sendRelease(fixture, trunk, kFirstId, 16);
+    fixture.advance(1000);
+    if (hasOther) {
+      CHECK(countReleases(*other, kFirstId) == 1);
+      continue;
+    }
+    fixture.advance(3000);
+    endStream(fixture, caller, CloseReason::reset);
+    FakeStream& next = fixture.acceptCaller();
+    fixture.establishCall(next, kSecondId);
+    fixture.advance(50);
+    CHECK(countReleases(next, kFirstId) == 1);
+  }
+}
