--- a/review/standin-2/world.hpp
+++ b/review/standin-2/world.hpp
@@ -641,7 +641,8 @@
   };
   std::map<std::string, Call> calls;
   std::string name;
-  bool acknowledges = true;  ///< writes `released`
+  bool acknowledges = true;   ///< writes `released`
+  std::size_t maxSides = 80;  ///< then set-ups share connections: a third of the descriptors
   std::function<void(const std::string& id)> onStands, onFinal;
 
   Front(Loop& loop, Record& record, Address node, std::string called)
@@ -669,7 +670,11 @@
   SidePtr freeSide() {
     for (const auto& one : sides)
       if (one->open == 0 && one->wire->isOpen()) return one;
-    return newSide();
+    if (sides.size() < maxSides) return newSide();
+    SidePtr least = sides.front();
+    for (const auto& one : sides)
+      if (one->open < least->open) least = one;
+    return least;
   }
   /// Sends a set-up and returns its id.
   std::string call(int place, double leftMs = 9000, SidePtr side = nullptr, const std::string& service = "status-check",
