--- a/review/standin-2/world.hpp
+++ b/review/standin-2/world.hpp
@@ -801,9 +801,9 @@
   int ownPlace = 0, fleet = 3;  ///< place of its own exchange; softswitches in the fleet
 
   Node(Record& record, std::string root) : record_(&record), root_(std::move(root)) {
-    char folder[] = "/tmp/thistlefold-review-XXXXXX";
-    if (::mkdtemp(folder) == nullptr) throw CannotRun{"no temporary folder"};
-    folder_ = folder;
+    const char* temporary = std::getenv("TMPDIR");
+    folder_ = std::string(temporary != nullptr ? temporary : "/tmp") + "/thistlefold-review-XXXXXX";
+    if (::mkdtemp(folder_.data()) == nullptr) throw CannotRun{"no temporary folder"};
     const int fd = listenOn(address);  // a free port
     ::close(fd);
   }
