--- a/review/standin-2/world.hpp
+++ b/review/standin-2/world.hpp
@@ -804,7 +804,10 @@
     const char* temporary = std::getenv("TMPDIR");
     folder_ = std::string(temporary != nullptr ? temporary : "/tmp") + "/thistlefold-review-XXXXXX";
     if (::mkdtemp(folder_.data()) == nullptr) throw CannotRun{"no temporary folder"};
-    const int fd = listenOn(address);  // a free port
+    // A free port, at an address that no stand-in listens at: until the softswitch listens nobody else gets the port.
+    const auto process = static_cast<std::uint32_t>(::getpid());
+    address.ip = 127u << 24 | (64 + (process >> 8) % 64) << 16 | (process & 255) << 8 | 1;
+    const int fd = listenOn(address);
     ::close(fd);
   }
   ~Node() {
