A client's own word about a call does not draw other clients' releases

Cause: adoptEstablishedCall() counted the client's word as CallerEvidence::establishedCall; of equals selectCaller() takes the one that sent last, and a trusted connection's release was not repeated. The same on a related path: clients that repeat refused set-ups drew all releases of callers that had refusals alone.

Change: CallerEvidence::namedCall, below an answered call; Call::isConfirmed and EndedCall::isConfirmed tell whether anybody else knew the call; an exchange's release confirms it. The connection that carried or named the call itself is trusted with it. The ended-calls test checks the same values through the new type, and the new flag besides.

--- a/src/platform/caller_releases.cpp
+++ b/src/platform/caller_releases.cpp
@@ -21,16 +21,14 @@
 }  // namespace
 
 // Selects the connection for a release whose set-up's connection is closed: of those with the most evidence of a
-// caller, the one that sent a message last, unless its client does not read. Connections without a usable set-up, and
-// those that sent an invalid message before they had an established call, are strangers and must not learn of calls.
+// caller, the one that sent a message last, unless its client does not read.
 CallerConnection* Softswitch::selectCaller() const {
   CallerConnection* best = nullptr;
   const auto rank = [](const CallerConnection& connection) {
     return std::tuple(connection.evidence, connection.isRead(), connection.lastMessageAt);
   };
   for (const auto& connection : callers_) {
-    if (connection->evidence == CallerEvidence::none) continue;
-    if (connection->evidence == CallerEvidence::setup && connection->invalidMessages > 0) continue;
+    if (!connection->mayBeCaller()) continue;
     if (best == nullptr || rank(*connection) > rank(*best)) best = connection.get();
   }
   return best;
@@ -38,22 +36,23 @@
 
 // Writes a release on `connection`, or if that is null on the best one. If there is none, the release is stored.
 void Softswitch::deliverRelease(CallerConnection* connection, const std::string& id, int cause) {
-  if (connection == nullptr) connection = selectCaller();
-  if (connection != nullptr) return writeCallerRelease(*connection, id, cause);
+  const bool carriedCall = connection != nullptr;
+  if (!carriedCall) connection = selectCaller();
+  if (connection != nullptr) return writeCallerRelease(*connection, id, cause, carriedCall);
   if (undeliveredReleases_.size() < kMaxUndeliveredReleases) undeliveredReleases_.push_back({id, cause});
 }
 
-void Softswitch::writeCallerRelease(CallerConnection& connection, const std::string& id, int cause) {
+void Softswitch::writeCallerRelease(CallerConnection& connection, const std::string& id, int cause, bool carriedCall) {
   connection.stream->send(writeMessage(MessageKind::release, id, {}, cause));
   if (connection.evidence == CallerEvidence::none) return;  // a stranger's own word alone: nobody else is told of it
   if (connection.sentReleases.size() == kMaxStoredReleases)
     connection.sentReleases.erase(connection.sentReleases.begin());
-  connection.sentReleases.push_back({id, cause, now_});
+  connection.sentReleases.push_back({{id, cause, now_}, carriedCall});
 }
 
 // Repeats on another connection the releases that a closed one may not have delivered.
 void Softswitch::repeatReleases(const CallerConnection& closed) {
-  for (const SentRelease& release : closed.sentReleases) deliverRelease(nullptr, release.id, release.cause);
+  for (const SentCallerRelease& release : closed.sentReleases) deliverRelease(nullptr, release.id, release.cause);
 }
 
 void Softswitch::maintainCallerReleases() {
@@ -63,25 +62,43 @@
   }
   for (const auto& connection : callers_) {
     if (connection->sentReleases.empty()) continue;
-    if (!connection->isTrusted()) {
-      CallerConnection* best = selectCaller();
-      if (best != nullptr && best->isTrusted()) moveUnacknowledgedReleases(*connection, *best);
-    }
-    std::erase_if(connection->sentReleases, [&](const SentRelease& release) {
+    repeatUnacknowledged(*connection);
+    std::erase_if(connection->sentReleases, [&](const SentCallerRelease& release) {
       const Span age = now_ - release.sentAt;
-      return connection->isTrusted() ? age > kReleaseRepeatWindow : age > kMaxUnacknowledgedTime;
+      return connection->isTrustedWith(release) ? age > kReleaseRepeatWindow : age > kMaxUnacknowledgedTime;
     });
   }
 }
 
-// Repeats on `to` the releases that were not acknowledged on `from`, which is not read or whose client may not be the
-// caller.
-void Softswitch::moveUnacknowledgedReleases(CallerConnection& from, CallerConnection& to) {
-  std::erase_if(from.sentReleases, [&](const SentRelease& release) {
-    if (now_ - release.sentAt < kAcknowledgementTimeout) return false;
-    writeCallerRelease(to, release.id, release.cause);
-    return true;
-  });
+// Repeats the releases that were not acknowledged on a connection which is not read or whose client may not be the
+// caller: on one that can be trusted with them, or if there is none on all that may be the caller's.
+void Softswitch::repeatUnacknowledged(CallerConnection& from) {
+  const auto isDue = [&](const SentCallerRelease& release) {
+    return !from.isTrustedWith(release) && now_ - release.sentAt >= kAcknowledgementTimeout;
+  };
+  if (std::none_of(from.sentReleases.begin(), from.sentReleases.end(), isDue)) return;
+  CallerConnection* best = selectCaller();
+  if (best != nullptr && best != &from && best->isTrusted()) {
+    std::erase_if(from.sentReleases, [&](const SentCallerRelease& release) {
+      if (!isDue(release)) return false;
+      writeCallerRelease(*best, release.id, release.cause, false);
+      return true;
+    });
+    return;
+  }
+  for (SentCallerRelease& release : from.sentReleases) {
+    if (!isDue(release) || release.wasSpread) continue;
+    release.wasSpread = true;
+    spreadRelease(from, release);
+  }
+}
+
+// Writes a release on every connection that may be its caller's, except `from`.
+void Softswitch::spreadRelease(const CallerConnection& from, const SentRelease& release) {
+  for (const auto& connection : callers_) {
+    if (connection.get() == &from || !connection->mayBeCaller() || !connection->isRead()) continue;
+    connection->stream->send(writeMessage(MessageKind::release, release.id, {}, release.cause));
+  }
 }
 
 }  // namespace thistlefold::platform
--- a/src/platform/callers.cpp
+++ b/src/platform/callers.cpp
@@ -106,7 +106,7 @@
       return;
     }
     case MessageKind::released:
-      std::erase_if(connection.sentReleases, [&](const SentRelease& release) { return release.id == message->id; });
+      std::erase_if(connection.sentReleases, [&](const auto& release) { return release.id == message->id; });
       return;
     case MessageKind::progress:
       return;
@@ -202,21 +202,18 @@
   auto* peer = static_cast<Peer*>(registry_.find(*exchangeId));
   if (const auto existing = calls_.find(message.id); existing != calls_.end()) {
     if (existing->second->state == Call::State::established && existing->second->peer == peer) {
-      connection.hasSentValidMessage = true;
-      connection.evidence = CallerEvidence::establishedCall;
+      noteNamedCall(connection, existing->second->isConfirmed);
       if (existing->second->caller == nullptr) existing->second->caller = &connection;
     }
     return;
   }
-  if (const auto cause = endedCalls_.causeOf(message.id)) {
-    connection.hasSentValidMessage = true;
-    connection.evidence = CallerEvidence::establishedCall;
+  if (const auto ended = endedCalls_.find(message.id)) {
+    noteNamedCall(connection, ended->isConfirmed);
     std::erase_if(undeliveredReleases_, [&](const UndeliveredRelease& release) { return release.id == message.id; });
-    return writeCallerRelease(connection, message.id, *cause);
+    return writeCallerRelease(connection, message.id, ended->cause, true);
   }
   if (peer == nullptr || peer->own) return rejectStaleName(connection, message.id);
-  connection.hasSentValidMessage = true;
-  connection.evidence = CallerEvidence::establishedCall;
+  noteNamedCall(connection, false);
   const bool isOver = !peer->hasProcess() || peer->listedStart > startedAt_;
   if (isOver || adoptedCalls_ >= kAdoptedCallsPerSetup * deployment_.maxPendingSetups) {
     // Nobody else would release the call towards its caller. At the limit it is ended at both of its ends.
@@ -227,6 +224,7 @@
   newCall->id = message.id;
   newCall->state = Call::State::established;
   newCall->knownToController = false;
+  newCall->isConfirmed = false;
   newCall->caller = &connection;
   newCall->peer = peer;
   newCall->establishedAt = startedAt_;  // at the latest
@@ -235,11 +233,18 @@
   calls_.emplace(message.id, std::move(newCall));
 }
 
+// Notes what the naming of a call tells of a client. `isConfirmed`: somebody else knows the call too.
+void Softswitch::noteNamedCall(CallerConnection& connection, bool isConfirmed) {
+  connection.hasSentValidMessage = true;
+  connection.evidence =
+      std::max(connection.evidence, isConfirmed ? CallerEvidence::establishedCall : CallerEvidence::namedCall);
+}
+
 // Releases a call that its caller names as established, but that is over. This is no invalid message: after a restart a
 // caller can't know what has become of its exchanges.
 void Softswitch::rejectStaleName(CallerConnection& connection, const std::string& id) {
   ++counters_.droppedCalls;
-  writeCallerRelease(connection, id, kCauseTemporaryFailure);
+  writeCallerRelease(connection, id, kCauseTemporaryFailure, true);
 }
 
 // Ends a call that its caller has released, or a set-up that the caller has abandoned by closing.
--- a/src/platform/connections.hpp
+++ b/src/platform/connections.hpp
@@ -45,12 +45,19 @@
   Instant sentAt;
 };
 
+/// A release towards a caller that was written and not acknowledged yet.
+struct SentCallerRelease : SentRelease {
+  bool carriedCall = false;  ///< its connection carried the call or named it, so that its client is the caller
+  bool wasSpread = false;    ///< also written to every other client that may be the caller
+};
+
 /// What is known of the client of an incoming connection, least first. A standing call belongs to no connection, so its
 /// release may have to be written on one that never carried it.
 enum class CallerEvidence {
   none,            ///< no usable set-up yet; a front that only pings, or noise
   setup,           ///< it sent a usable set-up, whatever became of it
-  establishedCall  ///< a call was answered on it, or it named an established one
+  namedCall,       ///< it named a call as established, which nobody else has confirmed
+  establishedCall  ///< a call was answered on it, or it named one that an exchange or this softswitch knew
 };
 
 /// An incoming connection of a caller.
@@ -60,14 +67,24 @@
   Instant connectedAt, partialLineSince = Instant::never(), lastMessageAt;
   bool hasSentValidMessage = false;
   CallerEvidence evidence = CallerEvidence::none;
-  int invalidMessages = 0;                ///< received so far
-  std::size_t pendingSetups = 0;          ///< set-ups without a final answer
-  std::vector<SentRelease> sentReleases;  ///< of established calls, written to it and not acknowledged yet
+  int invalidMessages = 0;                      ///< received so far
+  std::size_t pendingSetups = 0;                ///< set-ups without a final answer
+  std::vector<SentCallerRelease> sentReleases;  ///< of established calls, written to it and not acknowledged yet
 
   /// Whether the client has read, or has room for, all that was written.
   bool isRead() const { return stream->unsentBytes() == 0; }
-  /// Whether a release that is written on it can be expected to reach the caller. Must not be called once it is closed.
+  /// Whether a release of another connection's call that is written on it can be expected to reach the caller. Must not
+  /// be called once it is closed.
   bool isTrusted() const { return evidence == CallerEvidence::establishedCall && isRead(); }
+  /// The same for a release that was written on it.
+  bool isTrustedWith(const SentCallerRelease& release) const {
+    return isTrusted() || (release.carriedCall && isRead());
+  }
+  /// Whether its client may be the caller of a call that it did not carry. Clients that sent an invalid message before
+  /// they had an established call are strangers and must not learn of calls.
+  bool mayBeCaller() const {
+    return evidence == CallerEvidence::establishedCall || (evidence != CallerEvidence::none && invalidMessages == 0);
+  }
 };
 
 /// What a new connection to an exchange is needed for, least urgent first. At the limits it decides what is closed for
@@ -127,6 +144,7 @@
     finished      ///< removed after the round
   } state = State::unrouted;
   bool knownToController = true;       ///< false: was established before this softswitch started
+  bool isConfirmed = true;             ///< false: the client that named it alone says that it was established
   CallerConnection* caller = nullptr;  ///< nullptr: the caller's connection is closed
   TrunkConnection* trunk = nullptr;    ///< set while an INVITE is out
   Peer* peer = nullptr;                ///< the exchange of the last INVITE
--- a/src/platform/ended_calls.cpp
+++ b/src/platform/ended_calls.cpp
@@ -2,15 +2,15 @@
 
 namespace thistlefold::platform {
 
-void EndedCalls::add(const std::string& id, int cause, Instant now) {
-  if (!causes_.emplace(id, cause).second) return;
+void EndedCalls::add(const std::string& id, EndedCall call, Instant now) {
+  if (!calls_.emplace(id, call).second) return;
   byAge_.push_back({id, now});
   if (byAge_.size() > capacity_) forgetOldest();
 }
 
-std::optional<int> EndedCalls::causeOf(const std::string& id) const {
-  const auto it = causes_.find(id);
-  return it == causes_.end() ? std::nullopt : std::optional(it->second);
+std::optional<EndedCall> EndedCalls::find(const std::string& id) const {
+  const auto it = calls_.find(id);
+  return it == calls_.end() ? std::nullopt : std::optional(it->second);
 }
 
 void EndedCalls::expire(Instant now) {
@@ -18,7 +18,7 @@
 }
 
 void EndedCalls::forgetOldest() {
-  causes_.erase(byAge_.front().id);
+  calls_.erase(byAge_.front().id);
   byAge_.pop_front();
 }
 
--- a/src/platform/exchanges.cpp
+++ b/src/platform/exchanges.cpp
@@ -145,9 +145,11 @@
 void Softswitch::onExchangeRelease(const Peer& peer, const Message& message) {
   const int cause = message.cause.value_or(kCauseTemporaryFailure);
   const auto it = calls_.find(message.id);
-  if (it == calls_.end()) return endedCalls_.add(message.id, cause, now_);
+  if (it == calls_.end()) return endedCalls_.add(message.id, {cause, true}, now_);
   Call& call = *it->second;
   if (call.state != Call::State::established || call.peer != &peer) return;
+  call.isConfirmed = true;
+  if (call.caller != nullptr) noteNamedCall(*call.caller, true);
   endEstablishedCall(call, cause == kCauseNormalClearing ? InviteOutcome::released : InviteOutcome::reset, cause);
 }
 
@@ -214,7 +216,7 @@
 void Softswitch::endEstablishedCall(Call& call, InviteOutcome outcome, int cause) {
   if (outcome != InviteOutcome::released) ++counters_.droppedCalls;
   deliverRelease(call.caller, call.id, cause);
-  endedCalls_.add(call.id, cause, now_);
+  endedCalls_.add(call.id, {cause, call.isConfirmed}, now_);
   std::erase(call.peer->establishedCalls, &call);
   if (!call.knownToController) --adoptedCalls_;
   if (call.knownToController) {
--- a/src/platform/softswitch.hpp
+++ b/src/platform/softswitch.hpp
@@ -23,6 +23,7 @@
 struct Connection;
 struct CallerConnection;
 struct TrunkConnection;
+struct SentRelease;
 enum class ConnectionNeed;
 
 /// Makes the controller of an office. The configuration outlives the controller.
@@ -91,15 +92,17 @@
   void onCallerRelease(Call& call, int cause);
   void dropDescription(Call& call);
   void closeCaller(CallerConnection& connection, bool atOnce = false);
+  void noteNamedCall(CallerConnection& connection, bool isConfirmed);
   void rejectStaleName(CallerConnection& connection, const std::string& id);
 
   // Releases towards callers (caller_releases.cpp)
   CallerConnection* selectCaller() const;
   void deliverRelease(CallerConnection* connection, const std::string& id, int cause);
-  void writeCallerRelease(CallerConnection& connection, const std::string& id, int cause);
+  void writeCallerRelease(CallerConnection& connection, const std::string& id, int cause, bool carriedCall);
   void repeatReleases(const CallerConnection& closed);
   void maintainCallerReleases();
-  void moveUnacknowledgedReleases(CallerConnection& from, CallerConnection& to);
+  void repeatUnacknowledged(CallerConnection& from);
+  void spreadRelease(const CallerConnection& from, const SentRelease& release);
 
   // Exchanges (exchanges.cpp)
   void onExchangeMessage(TrunkConnection& connection, std::string_view line);
--- a/tests/program/platform_ended_calls.cpp
+++ b/tests/program/platform_ended_calls.cpp
@@ -11,14 +11,20 @@
 TEST_CASE("platform: ended calls are remembered for their time, and the oldest is forgotten at the limit") {
   const Instant start = Instant::ms(0);
   EndedCalls calls(2, Span::ms(1000));
-  calls.add("a", 16, start);
-  calls.add("a", 41, start + Span::ms(500));  // a second copy changes nothing
-  calls.add("b", 41, start + Span::ms(500));
-  CHECK(calls.causeOf("a") == 16);
-  calls.add("c", 41, start + Span::ms(600));
-  CHECK(!calls.causeOf("a"));
-  CHECK(calls.causeOf("b") == 41);
+  const auto causeOf = [&](const std::string& id) {
+    const auto call = calls.find(id);
+    return call ? std::optional(call->cause) : std::nullopt;
+  };
+  calls.add("a", {16, true}, start);
+  calls.add("a", {41, false}, start + Span::ms(500));  // a second copy changes nothing
+  calls.add("b", {41, false}, start + Span::ms(500));
+  CHECK(causeOf("a") == 16);
+  CHECK(calls.find("a")->isConfirmed);
+  CHECK(!calls.find("b")->isConfirmed);
+  calls.add("c", {41, true}, start + Span::ms(600));
+  CHECK(!causeOf("a"));
+  CHECK(causeOf("b") == 41);
   calls.expire(start + Span::ms(1550));
-  CHECK(!calls.causeOf("b"));
-  CHECK(calls.causeOf("c") == 41);
+  CHECK(!causeOf("b"));
+  CHECK(causeOf("c") == 41);
 }
--- a/tests/program/platform_releases.cpp
+++ b/tests/program/platform_releases.cpp
@@ -327,3 +327,64 @@
     CHECK(countReleases(next, kFirstId) == 1);
   }
 }
+
+// Guards against the release of a call going to a client that named unknown calls, and to nobody else: its own word
+// counted as much as a call that was answered, and it was the one that sent last.
+TEST_CASE("platform: a client that names unknown calls does not keep the release of another client's call") {
+  enum class Stranger { namesUnknownCalls, namesEndedCalls, repeatsRefusedSetups };
+  for (const Stranger kind : {Stranger::namesUnknownCalls, Stranger::namesEndedCalls, Stranger::repeatsRefusedSetups}) {
+    for (const bool hasAnsweredCall : {true, false}) {
+      CAPTURE(static_cast<int>(kind));
+      CAPTURE(hasAnsweredCall);
+      SoftswitchFixture fixture;
+      FakeStream& namer = fixture.acceptCaller();
+      nameCall(fixture, namer, kFirstId, "s-00000002");
+      endStream(fixture, namer, CloseReason::closed);
+      FakeStream& caller = fixture.acceptCaller();
+      if (hasAnsweredCall) {
+        fixture.establishCall(caller, kSecondId);
+      } else {
+        fixture.sendSetup(caller, kSecondId, "dest:9;width:1;via:-1");  // is refused
+      }
+      FakeStream& stranger = fixture.acceptCaller();
+      for (int i = 0; i < 20; ++i) {
+        fixture.advance(100);
+        if (kind == Stranger::repeatsRefusedSetups) {
+          fixture.sendSetup(stranger, numberedId(i), "dest:9;width:1;via:-1");
+        } else {
+          const bool isSameId = kind == Stranger::namesEndedCalls && i % 2 == 1;
+          nameCall(fixture, stranger, numberedId(isSameId ? i - 1 : i),
+                   kind == Stranger::namesEndedCalls ? "s-0000ffff" : "s-00000002");
+        }
+      }
+      sendRelease(fixture, *fixture.outgoingStreams(kExchangeAddress).front(), kFirstId, 16);
+      fixture.advance(hasAnsweredCall && kind != Stranger::repeatsRefusedSetups ? 50 : 950);
+      CHECK(countReleases(caller, kFirstId) == 1);
+      if (hasAnsweredCall) CHECK(countReleases(stranger, kFirstId) == 0);
+      fixture.advance(5000);
+      CHECK(countReleases(caller, kFirstId) == 1);
+      CHECK(countReleases(stranger, kFirstId) <= 1);
+    }
+  }
+}
+
+// Guards against a client that named calls which its exchange knew being taken for a stranger.
+TEST_CASE("platform: a client whose named call an exchange has released gets the releases of its other calls") {
+  SoftswitchFixture fixture;
+  FakeStream& closing = fixture.acceptCaller();
+  nameCall(fixture, closing, kFirstId, "s-00000002");
+  endStream(fixture, closing, CloseReason::closed);
+  FakeStream& caller = fixture.acceptCaller();
+  nameCall(fixture, caller, kSecondId, "s-00000002");
+  FakeStream& stranger = fixture.acceptCaller();
+  fixture.advance(10);
+  nameCall(fixture, stranger, kThirdId, "s-00000002");
+  FakeStream& trunk = *fixture.outgoingStreams(kExchangeAddress).front();
+  sendRelease(fixture, trunk, kSecondId, 16);
+  CHECK(countReleases(caller, kSecondId) == 1);
+  sendRelease(fixture, trunk, kFirstId, 16);
+  fixture.advance(2000);
+  CHECK(countReleases(caller, kFirstId) == 1);
+  CHECK(countReleases(stranger, kFirstId) == 0);
+  CHECK(countReleases(caller, kSecondId) == 1);
+}
