A connection to an exchange that lost bytes is replaced while calls stand there

Cause: an exchange repeats a release on the next connection that is opened, and there alone. The softswitch closed the spoilt connection and, with others left (lacksConnection(), isContactDue()), opened none.

Change: Peer::bytesLostAt is set where bytes are thrown away, Peer::newestConnectAt where a connection is established; isContactDue() wants a connection begun since the loss while calls stand.

--- a/src/platform/connections.hpp
+++ b/src/platform/connections.hpp
@@ -129,6 +129,10 @@
                                                  ///< with a new process
   Instant contactedAt = Instant::distantPast();  ///< when a connection to it was last opened for its calls
   int failedConnects = 0;                        ///< connection attempts that failed since `lastAliveAt`
+  /// When bytes of it were last lost, which may have held releases. It repeats these on the next connection that is
+  /// opened, and there alone.
+  Instant bytesLostAt = Instant::distantPast();
+  Instant newestConnectAt = Instant::distantPast();  ///< when the newest established connection was begun
 };
 
 /// A call, from its set-up to its end. Owned by the softswitch.
--- a/src/platform/exchanges.cpp
+++ b/src/platform/exchanges.cpp
@@ -117,6 +117,7 @@
   const auto message = readMessage(line);
   if (!message) {
     ++counters_.invalidFromExchanges;
+    connection.peer->bytesLostAt = now_;
     return dropConnection(connection, InviteOutcome::reset);
   }
   connection.lastReceivedAt = connection.peer->lastAliveAt = now_;
@@ -156,9 +157,10 @@
 // Handles what an exchange sent before it noticed that its connection was closed. Only releases of established calls
 // matter then: set-ups on the connection were given up with it.
 void Softswitch::onLateExchangeData(Peer& peer, LineReader& reader, std::string_view bytes) {
-  if (!reader.add(bytes)) return;
+  if (!reader.add(bytes)) peer.bytesLostAt = now_;
   while (const auto line = reader.next()) {
     const auto message = line->size() <= kMaxMessageBytes ? readMessage(*line) : std::nullopt;
+    if (!message) peer.bytesLostAt = now_;
     if (message && message->kind == MessageKind::release) onExchangeRelease(peer, *message);
   }
 }
--- a/src/platform/softswitch.cpp
+++ b/src/platform/softswitch.cpp
@@ -80,6 +80,7 @@
   trunk.connected = true;
   trunk.lastReceivedAt = now;
   Peer& peer = *trunk.peer;
+  peer.newestConnectAt = std::max(peer.newestConnectAt, trunk.connectStartedAt);
   peer.backoff = kInitialBackoff;
   peer.refusedSince = Instant::never();
   peer.lastAliveAt = now;
@@ -122,7 +123,9 @@
     if (stream.unsentBytes() > kMaxUnsentBytes) closeCaller(caller);
   } else if (!isReadable) {
     ++counters_.invalidFromExchanges;
-    dropConnection(static_cast<TrunkConnection&>(connection), InviteOutcome::reset);
+    auto& trunk = static_cast<TrunkConnection&>(connection);
+    trunk.peer->bytesLostAt = now_;
+    dropConnection(trunk, InviteOutcome::reset);
   }
 }
 
@@ -143,6 +146,7 @@
   auto& trunk = static_cast<TrunkConnection&>(connection);
   Peer& peer = *trunk.peer;
   if (reason == CloseReason::refused) onConnectFailed(peer, true);
+  if (reason == CloseReason::reset || trunk.reader.hasPartialLine()) peer.bytesLostAt = now_;
   dropConnection(trunk, InviteOutcome::unreachable);
 }
 
--- a/src/platform/softswitch.hpp
+++ b/src/platform/softswitch.hpp
@@ -134,6 +134,7 @@
   void contactPeersWithCalls();
   bool isContactDue(const Peer& peer) const;
   bool lacksConnection(const Peer& peer) const;
+  bool lacksRepeatedReleases(const Peer& peer) const;
   bool hasRecentRelease(const TrunkConnection& connection) const;
   void dropCallsIfDead(Peer& peer);
   void maintainStandby(Peer& peer);
--- a/src/platform/trunks.cpp
+++ b/src/platform/trunks.cpp
@@ -248,11 +248,21 @@
                       [](const auto& connection) { return !connection->suspect; });
 }
 
-// Whether calls need a new connection to an exchange: it is owed a release and has no connection, or it is silent and
-// has established calls, so that it may have vanished or have releases that it could not send.
+// Whether releases of an exchange with established calls may have been lost, and no connection was opened since on
+// which it would repeat them.
+bool Softswitch::lacksRepeatedReleases(const Peer& peer) const {
+  return !peer.establishedCalls.empty() && peer.bytesLostAt > peer.newestConnectAt && peer.nextConnectAt <= now_ &&
+         std::none_of(peer.connections.begin(), peer.connections.end(),
+                      [&](const auto& connection) { return connection->connectStartedAt >= peer.bytesLostAt; });
+}
+
+// Whether calls need a new connection to an exchange: it is owed a release and has no connection, or some of its own
+// may have been lost, or it is silent and has established calls, so that it may have vanished or have releases that it
+// could not send.
 bool Softswitch::isContactDue(const Peer& peer) const {
   if (peer.own || !peer.hasProcess()) return false;
   if (!peer.pendingReleases.empty() && lacksConnection(peer)) return true;
+  if (lacksRepeatedReleases(peer)) return true;
   return !peer.establishedCalls.empty() && now_ - peer.lastAliveAt > kSilenceBeforeCheck &&
          now_ - peer.contactedAt > kLivenessCheckInterval;
 }
--- a/tests/program/platform_releases.cpp
+++ b/tests/program/platform_releases.cpp
@@ -388,3 +388,79 @@
   CHECK(countReleases(stranger, kFirstId) == 0);
   CHECK(countReleases(caller, kSecondId) == 1);
 }
+
+/// Establishes three calls of one caller on two connections to the exchange. Returns the connection of the first.
+FakeStream& establishOnTwoConnections(SoftswitchFixture& fixture, FakeStream& caller) {
+  FakeStream& trunk = fixture.establishCall(caller, kFirstId);
+  fixture.sendSetup(caller, kSecondId);
+  fixture.sendSetup(caller, kThirdId);
+  fixture.completeConnects();
+  for (const std::string& id : {kSecondId, kThirdId}) fixture.sendAnswer(*fixture.invitedStream(id), id);
+  REQUIRE(fixture.outgoingStreams(kExchangeAddress).size() == 2);
+  return trunk;
+}
+
+// Guards against a release lost with the bytes of a spoilt connection: its exchange repeats it on the next connection
+// that is opened, and none was opened as long as others were left.
+TEST_CASE(
+    "platform: a connection on which releases may have been lost is replaced, and the repeated release is heard") {
+  enum class Loss { unreadableLine, endlessLine, brokenOffLine, reset };
+  for (const Loss loss : {Loss::unreadableLine, Loss::endlessLine, Loss::brokenOffLine, Loss::reset}) {
+    CAPTURE(static_cast<int>(loss));
+    SoftswitchFixture fixture;
+    FakeStream& caller = fixture.acceptCaller();
+    FakeStream& trunk = establishOnTwoConnections(fixture, caller);
+    const std::string half = R"({"type":"answer","id":")" + kSecondId + R"(","fie)";
+    if (loss == Loss::unreadableLine) fixture.deliver(trunk, half + R"({"type":"release","id":"00)");
+    if (loss == Loss::endlessLine) fixture.softswitch.onData(fixture.now, trunk, std::string(20000, 'x'));
+    if (loss == Loss::brokenOffLine) fixture.softswitch.onData(fixture.now, trunk, half);
+    if (loss == Loss::brokenOffLine || loss == Loss::reset)
+      endStream(fixture, trunk, loss == Loss::reset ? CloseReason::reset : CloseReason::closed);
+    CHECK(trunk.closed);
+    fixture.advance(200);
+    REQUIRE(fixture.outgoingStreams(kExchangeAddress).size() == 2);
+    // If the attempt fails, another one follows.
+    endStream(fixture, *fixture.outgoingStreams(kExchangeAddress).back(), CloseReason::refused);
+    fixture.advance(200);
+    REQUIRE(fixture.outgoingStreams(kExchangeAddress).size() == 2);
+    FakeStream& replacement = *fixture.outgoingStreams(kExchangeAddress).back();
+    fixture.completeConnect(replacement);
+    sendRelease(fixture, replacement, kFirstId, 16);
+    CHECK(countReleases(caller, kFirstId) == 1);
+    fixture.advance(300);
+    CHECK(fixture.outgoingStreams(kExchangeAddress).size() == 2);  // one is enough
+    // What arrives late on a spoilt connection may be a release too.
+    if (!trunk.onLateData) continue;
+    trunk.onLateData(fixture.now, half + R"({"type":"release","id":"00)" + "\n");
+    fixture.advance(200);
+    CHECK(fixture.outgoingStreams(kExchangeAddress).size() == 3);
+  }
+}
+
+// Guards against a connection that was begun before the loss being taken for the one on which releases are repeated.
+TEST_CASE("platform: a connection begun before releases were lost does not stand for the next that is opened") {
+  SoftswitchFixture fixture;
+  FakeStream& caller = fixture.acceptCaller();
+  FakeStream& trunk = fixture.establishCall(caller, kFirstId);
+  fixture.sendSetup(caller, kSecondId);
+  fixture.sendAnswer(trunk, kSecondId);
+  fixture.sendSetup(caller, kThirdId);
+  fixture.sendSetup(caller, "00000000000000dd");
+  REQUIRE(fixture.outgoingStreams(kExchangeAddress).size() == 2);
+  FakeStream& begun = *fixture.outgoingStreams(kExchangeAddress).back();
+  fixture.sendAnswer(trunk, kThirdId);
+  fixture.advance(10);
+  endStream(fixture, trunk, CloseReason::reset);
+  fixture.completeConnect(begun);
+  fixture.advance(200);
+  CHECK(fixture.outgoingStreams(kExchangeAddress).size() == 2);
+}
+
+// Guards against connections being opened without end where exchanges close idle ones, which loses nothing.
+TEST_CASE("platform: a connection that its exchange closes between messages is not replaced while others are left") {
+  SoftswitchFixture fixture;
+  FakeStream& trunk = establishOnTwoConnections(fixture, fixture.acceptCaller());
+  endStream(fixture, trunk, CloseReason::closed);
+  fixture.advance(300);
+  CHECK(fixture.outgoingStreams(kExchangeAddress).size() == 1);
+}
