A caller's connection stays open while a call stands that is released on it

Cause: maintainCallers() closed a connection six seconds after its last message whatever it carried, and deliverRelease() then had no connection to write on. At the limit of connections one that carries a call went like one that had carried some.

Change: CallerConnection::establishedCalls, kept by attachEstablishedCall() and detachEstablishedCall(); the idle time starts at the end of the last call; EvictionRank names the order at the limit, with calls that stand last and calls named at will before active connections.

--- a/src/platform/callers.cpp
+++ b/src/platform/callers.cpp
@@ -33,24 +33,36 @@
 constexpr int kCauseCongestion = 42;
 constexpr int kCauseInvalidContents = 100;
 
+// Order in which callers' connections are closed to make room at the limit.
+enum class EvictionRank {
+  silent,     // never sent a valid message
+  idle,       // did so, and is quiet
+  namedCall,  // named calls that stand by its word alone
+  active,     // connected or sent something just now, or is in the middle of a message: a set-up may be on its way
+  hadCall,    // had an established call
+  carriesCall
+};
+
+EvictionRank evictionRank(const CallerConnection& connection, Instant now) {
+  if (connection.evidence == CallerEvidence::establishedCall)
+    return connection.establishedCalls > 0 ? EvictionRank::carriesCall : EvictionRank::hadCall;
+  if (now - connection.lastMessageAt < kRecentActivity || connection.reader.hasPartialLine())
+    return EvictionRank::active;
+  if (connection.establishedCalls > 0) return EvictionRank::namedCall;
+  return connection.hasSentValidMessage ? EvictionRank::idle : EvictionRank::silent;
+}
+
 }  // namespace
 
 void Softswitch::onAccepted(Instant now, Stream& stream) {
   now_ = now;
   const auto maxCallers = static_cast<std::size_t>(kCallerShare * deployment_.maxConnections);
   if (callers_.size() >= maxCallers) {
-    // Evicts a connection without a pending set-up, in this order: those that never sent a valid message; those that
-    // did; those that connected or sent a message just now or are in the middle of one, since a set-up may be on its
-    // way; last those that had an established call. Within each group the one that has been silent for longest goes
-    // first. A connection with unread data stays, as the data may be a set-up. If all have to stay, the new connection
-    // is rejected.
+    // Evicts the connection with the least rank that has no pending set-up; of equals the one that has been silent for
+    // longest. A connection with unread data stays, as the data may be a set-up. If all have to stay, the new
+    // connection is rejected.
     const auto rank = [now](const CallerConnection& connection) {
-      const bool isActive = now - connection.lastMessageAt < kRecentActivity || connection.reader.hasPartialLine();
-      return std::pair(connection.evidence == CallerEvidence::establishedCall ? 3
-                       : isActive                                             ? 2
-                       : connection.hasSentValidMessage                       ? 1
-                                                                              : 0,
-                       connection.lastMessageAt);
+      return std::pair(evictionRank(connection, now), connection.lastMessageAt);
     };
     std::vector<CallerConnection*> idle;
     for (const auto& connection : callers_) {
@@ -203,7 +215,7 @@
   if (const auto existing = calls_.find(message.id); existing != calls_.end()) {
     if (existing->second->state == Call::State::established && existing->second->peer == peer) {
       noteNamedCall(connection, existing->second->isConfirmed);
-      if (existing->second->caller == nullptr) existing->second->caller = &connection;
+      if (existing->second->caller == nullptr) attachEstablishedCall(*existing->second, connection);
     }
     return;
   }
@@ -225,7 +237,7 @@
   newCall->state = Call::State::established;
   newCall->knownToController = false;
   newCall->isConfirmed = false;
-  newCall->caller = &connection;
+  attachEstablishedCall(*newCall, connection);
   newCall->peer = peer;
   newCall->establishedAt = startedAt_;  // at the latest
   ++adoptedCalls_;
@@ -259,6 +271,7 @@
       });
     }
     call.state = Call::State::finished;
+    detachEstablishedCall(call);
     finishedCallIds_.push_back(call.id);
     return;
   }
@@ -285,6 +298,21 @@
   finishedCallIds_.push_back(call.id);
 }
 
+// Makes a connection the one that an established call is released on. It stays open for that, so its idle time starts
+// anew when the call ends.
+void Softswitch::attachEstablishedCall(Call& call, CallerConnection& connection) {
+  call.caller = &connection;
+  ++connection.establishedCalls;
+  connection.lastMessageAt = now_;
+}
+
+void Softswitch::detachEstablishedCall(Call& call) {
+  if (call.caller == nullptr) return;
+  --call.caller->establishedCalls;
+  call.caller->lastMessageAt = now_;
+  call.caller = nullptr;
+}
+
 void Softswitch::dropDescription(Call& call) {
   descriptionBytes_ -= call.description.size();
   std::string().swap(call.description);
@@ -324,8 +352,9 @@
     const bool neverValid = !connection.hasSentValidMessage && now_ - connection.connectedAt > kValidMessageTimeout;
     const bool isStuck =
         connection.partialLineSince != Instant::never() && now_ - connection.partialLineSince > kValidMessageTimeout;
-    const bool idle = connection.pendingSetups == 0 && now_ - connection.lastMessageAt > kCallerIdleTimeout;
-    if ((neverValid || isStuck || idle) && !connection.stream->hasUnreadData()) closeCaller(connection, true);
+    const bool isIdle = connection.pendingSetups == 0 && connection.establishedCalls == 0 &&
+                        now_ - connection.lastMessageAt > kCallerIdleTimeout;
+    if ((neverValid || isStuck || isIdle) && !connection.stream->hasUnreadData()) closeCaller(connection, true);
   }
   endedCalls_.expire(now_);
   maintainCallerReleases();
--- a/src/platform/connections.hpp
+++ b/src/platform/connections.hpp
@@ -69,6 +69,7 @@
   CallerEvidence evidence = CallerEvidence::none;
   int invalidMessages = 0;                      ///< received so far
   std::size_t pendingSetups = 0;                ///< set-ups without a final answer
+  std::size_t establishedCalls = 0;             ///< that it carried or named; each is `Call::caller` of its own
   std::vector<SentCallerRelease> sentReleases;  ///< of established calls, written to it and not acknowledged yet
 
   /// Whether the client has read, or has room for, all that was written.
--- a/src/platform/exchanges.cpp
+++ b/src/platform/exchanges.cpp
@@ -178,7 +178,7 @@
   if (call.caller != nullptr) {
     --call.caller->pendingSetups;
     call.caller->evidence = CallerEvidence::establishedCall;
-    call.caller->lastMessageAt = now_;
+    attachEstablishedCall(call, *call.caller);
     call.caller->stream->send(writeMessage(MessageKind::answer, call.id, {}, -1, description));
   }
   queuedEvents_.push_back([&call, delay = now_ - call.sentAt](Controller& to) { to.inviteAccepted(call, delay); });
@@ -227,7 +227,7 @@
     });
   }
   call.state = Call::State::finished;
-  call.caller = nullptr;
+  detachEstablishedCall(call);
   finishedCallIds_.push_back(call.id);
 }
 
--- a/src/platform/softswitch.hpp
+++ b/src/platform/softswitch.hpp
@@ -90,6 +90,8 @@
   void rejectInvalid(CallerConnection& connection, std::string_view id);
   void rejectOverloaded(CallerConnection& connection, std::string_view id);
   void onCallerRelease(Call& call, int cause);
+  void attachEstablishedCall(Call& call, CallerConnection& connection);
+  void detachEstablishedCall(Call& call);
   void dropDescription(Call& call);
   void closeCaller(CallerConnection& connection, bool atOnce = false);
   void noteNamedCall(CallerConnection& connection, bool isConfirmed);
--- a/tests/program/platform_releases.cpp
+++ b/tests/program/platform_releases.cpp
@@ -464,3 +464,70 @@
   fixture.advance(300);
   CHECK(fixture.outgoingStreams(kExchangeAddress).size() == 1);
 }
+
+// Guards against the connection of a caller that asks once and keeps it being closed as idle while its call stands, so
+// that nobody was left to tell of the call's end.
+TEST_CASE("platform: a connection stays open while a call stands that it carried or named, and is told of its end") {
+  enum class End { exchange, otherConnection };
+  for (const bool isNamed : {false, true}) {
+    for (const End end : {End::exchange, End::otherConnection}) {
+      CAPTURE(isNamed);
+      CAPTURE(static_cast<int>(end));
+      SoftswitchFixture fixture;
+      FakeStream& caller = fixture.acceptCaller();
+      if (isNamed) {
+        nameCall(fixture, caller, kFirstId, "s-00000002");
+      } else {
+        fixture.establishCall(caller, kFirstId);
+      }
+      // The exchange is alive, and nothing else happens.
+      for (int second = 0; second < 30; ++second) {
+        fixture.advance(1000);
+        fixture.deliver(*fixture.outgoingStreams(kExchangeAddress).front(),
+                        R"({"type":"state","id":"","fields":{"load":"x0:19;x1:20;qps:100"}})");
+      }
+      REQUIRE(!caller.closed);
+      if (end == End::exchange) {
+        sendRelease(fixture, *fixture.outgoingStreams(kExchangeAddress).front(), kFirstId, 16);
+        CHECK(countReleases(caller, kFirstId) == 1);
+      } else {
+        FakeStream& other = fixture.acceptCaller();
+        sendRelease(fixture, other, kFirstId, 16);
+      }
+      fixture.advance(5000);
+      CHECK(!caller.closed);
+      fixture.advance(1500);
+      CHECK(caller.closed);  // it carries no call any more
+    }
+  }
+}
+
+// Guards against a connection that carries a call being closed at the limit before one that carries none.
+TEST_CASE(
+    "platform: at the limit of connections those of calls that stand go last, and calls named at will before them") {
+  SoftswitchFixture fixture(64);  // 24 connections of callers
+  FakeStream& caller = fixture.acceptCaller();
+  fixture.establishCall(caller, kFirstId);
+  FakeStream& formerCaller = fixture.acceptCaller();
+  FakeStream& trunk = fixture.establishCall(formerCaller, kSecondId);
+  fixture.advance(10);
+  sendRelease(fixture, trunk, kSecondId, 16);
+  std::vector<FakeStream*> namers;
+  for (int i = 0; i < 22; ++i) {
+    namers.push_back(&fixture.acceptCaller());
+    nameCall(fixture, *namers.back(), numberedId(i), "s-00000002");
+    fixture.advance(10);
+  }
+  fixture.advance(200);
+  std::vector<FakeStream*> setups;
+  for (int i = 0; i < 22; ++i) {
+    setups.push_back(&fixture.acceptCaller());
+    fixture.sendSetup(*setups.back(), numberedId(100 + i));
+  }
+  for (const FakeStream* namer : namers) CHECK(namer->closed);
+  CHECK(!caller.closed);
+  CHECK(!formerCaller.closed);
+  fixture.acceptCaller();
+  CHECK(formerCaller.closed);
+  CHECK(!caller.closed);
+}
