No set-up is sent on after its client left, and no id twice within the release time

Cause: release and new set-up take two connections; the end of a connection was seen only behind all its data, with decisions in between.

Change: RecentCalls (was EndedCalls) also remembers set-ups that may have run: their id is refused with 42 and wait until the release time is over, or with 41 if it must not run twice. Stream::hasRemoteClosed() (POLLRDHUP) is asked before a client's data is taken in and before an INVITE is written.

--- a/src/net/stream_runner.cpp
+++ b/src/net/stream_runner.cpp
@@ -1,5 +1,7 @@
 #include "net/stream_runner.hpp"
 
+#include <poll.h>
+
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -112,6 +114,11 @@
     Error error;
     return socket_.is_open() && socket_.available(error) > 0 && !error;
   }
+  bool hasRemoteClosed() override {
+    if (!socket_.is_open()) return false;
+    pollfd polled{socket_.native_handle(), POLLRDHUP, 0};
+    return ::poll(&polled, 1, 0) > 0 && (polled.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+  }
   bool isOpen() const { return socket_.is_open(); }
   void close() override {
     if (closed_) return;
--- a/src/platform/callers.cpp
+++ b/src/platform/callers.cpp
@@ -18,6 +18,9 @@
 constexpr Span kRecentActivity = Span::ms(100);
 // The platform's callers close a connection after four seconds without a call. A longer idle one is closed after this.
 constexpr Span kCallerIdleTimeout = Span::ms(6000);
+// A set-up is passed on after this time even while data behind it is unread. The platform allows no INVITE 100 ms after
+// its caller has left.
+constexpr Span kMaxSetupHold = Span::ms(50);
 // Limits of one connection: pending set-ups, and invalid messages after which it is closed.
 constexpr std::size_t kMaxPendingSetupsPerCaller = 512;
 constexpr int kMaxInvalidMessages = 8;
@@ -136,21 +139,69 @@
 
 void Softswitch::rejectOverloaded(CallerConnection& connection, std::string_view id) {
   ++counters_.limitHits;
+  writeRefusal(connection, id, deployment_.officeConfig.longestRetryAfter);
+}
+
+void Softswitch::writeRefusal(CallerConnection& connection, std::string_view id, Span retryAfter) {
   Fields fields;
-  if (deployment_.officeConfig.honoursRetryAfter)
-    fields.emplace_back("wait", formatMilliseconds(deployment_.officeConfig.longestRetryAfter));
+  if (deployment_.officeConfig.honoursRetryAfter) fields.emplace_back("wait", formatMilliseconds(retryAfter));
   connection.stream->send(writeMessage(MessageKind::release, id, fields, kCauseCongestion));
 }
 
+// Whether a set-up must not be sent on because one with its id may still hold circuits, or may have been executed and
+// must not be twice. Its caller may have closed and used the id again before an exchange has heard of the release.
+bool Softswitch::isReturned(const std::string& id) const {
+  const auto former = executedSetups_.find(id);
+  return former && (!former->repeatable || now_ - former->endedAt < deployment_.officeConfig.releaseTime);
+}
+
+// Rejects a set-up under the id of one that has just ended: until the release time is over, or as failed if it may have
+// been executed and must not be twice.
+void Softswitch::rejectReturned(CallerConnection& connection, const std::string& id) {
+  ++counters_.returnedSetups;
+  connection.hasSentValidMessage = true;
+  const auto former = executedSetups_.find(id);
+  if (former && !former->repeatable) {
+    connection.stream->send(writeMessage(MessageKind::release, id, {}, kCauseTemporaryFailure));
+    return;
+  }
+  const Span releaseTime = deployment_.officeConfig.releaseTime;
+  writeRefusal(connection, id, former ? releaseTime - (now_ - former->endedAt) : releaseTime);
+}
+
+// Ends a set-up whose caller has closed its connection. Returns whether it did.
+bool Softswitch::endIfCallerLeft(Call& call) {
+  if (call.caller == nullptr || !call.caller->stream->hasRemoteClosed()) return false;
+  onCallerRelease(call, kCauseNormalClearing);
+  return true;
+}
+
+void Softswitch::rememberExecuted(const Call& call) {
+  if (call.mayHaveRun && call.service != nullptr)
+    executedSetups_.replace(call.id, {now_, call.service->repeatable}, now_);
+}
+
+// Gives up what a client that has closed its connection still waits for.
+void Softswitch::abandonSetups(const CallerConnection& connection) {
+  if (connection.pendingSetups == 0) return;
+  for (auto& [id, call] : calls_) {
+    if (call->caller == &connection && call->isPending()) onCallerRelease(*call, kCauseNormalClearing);
+  }
+}
+
 void Softswitch::onSetup(CallerConnection& connection, const Message& message) {
   const std::string_view extras = message.field("extras").value_or("");
   if (message.id.empty()) return rejectInvalid(connection, message.id);
   if (const auto exchange = findFigure(extras, "at")) return adoptEstablishedCall(connection, message, *exchange);
   if (const auto existing = calls_.find(message.id); existing != calls_.end()) {
-    // The id of a current call was used again. From another connection only that set-up is rejected; the call goes on.
+    // The id of a current call was used again. From another connection only that set-up is rejected; the call goes on,
+    // unless its caller has left.
+    if (existing->second->state == Call::State::finished) return rejectReturned(connection, message.id);
+    if (existing->second->isPending() && existing->second->caller != &connection && endIfCallerLeft(*existing->second))
+      return rejectReturned(connection, message.id);
     if (existing->second->caller != &connection) return rejectInvalid(connection, message.id);
     ++counters_.invalidFromCallers;
-    if (existing->second->state == Call::State::unrouted || existing->second->state == Call::State::invited) {
+    if (existing->second->isPending()) {
       // On one connection an id can have only one final answer, which could not be matched to either set-up, so that
       // both fail.
       Call& call = *existing->second;
@@ -179,6 +230,8 @@
   }
   connection.hasSentValidMessage = true;
   connection.evidence = std::max(connection.evidence, CallerEvidence::setup);
+  if (connection.hasLeft) return;  // it was given up when the client closed
+  if (isReturned(message.id)) return rejectReturned(connection, message.id);
   if (pendingSetups_ >= deployment_.maxPendingSetups || connection.pendingSetups >= kMaxPendingSetupsPerCaller ||
       descriptionBytes_ + message.description.size() > deployment_.memoryBytes / kDescriptionMemoryDivisor ||
       now_ > exitAt_ - kNoNewSetupsBeforeExit) {
@@ -203,7 +256,19 @@
   ++pendingSetups_;
   ++counters_.acceptedSetups;
   calls_.emplace(call.id, std::move(newCall));
-  queuedEvents_.push_back([&call](Controller& to) { to.sessionArrived(call); });
+  if (connection.heldSetups.empty()) connection.heldSince = now_;
+  connection.heldSetups.push_back(&call);
+}
+
+// Passes set-ups on to the controller, those of a connection once all that was received on it has been read: behind a
+// set-up may lie its release, or the end of the connection.
+void Softswitch::passOnHeldSetups() {
+  for (const auto& connection : callers_) {
+    if (connection->heldSetups.empty()) continue;
+    if (connection->stream->hasUnreadData() && now_ - connection->heldSince < kMaxSetupHold) continue;
+    for (Call* call : std::exchange(connection->heldSetups, {}))
+      queuedEvents_.push_back([call](Controller& to) { to.sessionArrived(*call); });
+  }
 }
 
 // Registers a call that was established before this softswitch started, unless it is over. The controller is not
@@ -271,6 +336,7 @@
       });
     }
     call.state = Call::State::finished;
+    rememberExecuted(call);
     detachEstablishedCall(call);
     finishedCallIds_.push_back(call.id);
     return;
@@ -283,15 +349,22 @@
     std::erase(connection.invitedCalls, &call);
     std::erase(invitedCalls_, &call);
     call.trunk = nullptr;
-    if (connection.connected) sendRelease(*peer, &connection, call.id, kCauseNormalClearing);
+    if (connection.connected) {
+      call.mayHaveRun = true;
+      sendRelease(*peer, &connection, call.id, kCauseNormalClearing);
+    }
   }
   queuedEvents_.push_back([&call, wasInvited, peer](Controller& to) {
     to.sessionAbandoned(call);
     if (wasInvited)
       to.inviteEnded(call, *peer, InviteOutcome::cancelled, BlockingReason::none, false, Span::none(), true);
   });
-  if (call.caller != nullptr) --call.caller->pendingSetups;
+  if (call.caller != nullptr) {
+    --call.caller->pendingSetups;
+    std::erase(call.caller->heldSetups, &call);
+  }
   --pendingSetups_;
+  rememberExecuted(call);
   dropDescription(call);
   call.state = Call::State::finished;
   call.caller = nullptr;
@@ -325,7 +398,7 @@
   const bool hasPendingSetups = connection.pendingSetups > 0;
   for (auto& [id, call] : calls_) {
     if (call->caller != &connection) continue;
-    if (call->state == Call::State::unrouted || call->state == Call::State::invited) {
+    if (call->isPending()) {
       if (connection.stream != nullptr)
         connection.stream->send(writeMessage(MessageKind::release, id, {}, kCauseTemporaryFailure));
       onCallerRelease(*call, kCauseNormalClearing);
@@ -357,6 +430,7 @@
     if ((neverValid || isStuck || isIdle) && !connection.stream->hasUnreadData()) closeCaller(connection, true);
   }
   endedCalls_.expire(now_);
+  executedSetups_.expire(now_);
   maintainCallerReleases();
 }
 
--- a/src/platform/connections.hpp
+++ b/src/platform/connections.hpp
@@ -66,10 +66,13 @@
   /// `partialLineSince`: when the incomplete line that waits was first seen; never if there is none.
   Instant connectedAt, partialLineSince = Instant::never(), lastMessageAt;
   bool hasSentValidMessage = false;
+  bool hasLeft = false;  ///< its client has closed; what is still read was sent before that
   CallerEvidence evidence = CallerEvidence::none;
   int invalidMessages = 0;                      ///< received so far
   std::size_t pendingSetups = 0;                ///< set-ups without a final answer
   std::size_t establishedCalls = 0;             ///< that it carried or named; each is `Call::caller` of its own
+  std::vector<Call*> heldSetups;                ///< not passed on yet, as data behind them is unread
+  Instant heldSince;                            ///< when the first of them was read
   std::vector<SentCallerRelease> sentReleases;  ///< of established calls, written to it and not acknowledged yet
 
   /// Whether the client has read, or has room for, all that was written.
@@ -153,7 +156,11 @@
   CallerConnection* caller = nullptr;  ///< nullptr: the caller's connection is closed
   TrunkConnection* trunk = nullptr;    ///< set while an INVITE is out
   Peer* peer = nullptr;                ///< the exchange of the last INVITE
+  bool mayHaveRun = false;             ///< an INVITE of it was written whose end does not prove that it never ran
   Instant giveUpAt, establishedAt;
+
+  /// Whether its caller waits for a final answer.
+  bool isPending() const { return state == State::unrouted || state == State::invited; }
 };
 
 }  // namespace thistlefold::platform
--- a/src/platform/exchanges.cpp
+++ b/src/platform/exchanges.cpp
@@ -26,6 +26,13 @@
   // Both objects are owned by this softswitch; the interface is const because the controller only reads them.
   Call& call = const_cast<Call&>(static_cast<const Call&>(session));
   Peer& peer = const_cast<Peer&>(static_cast<const Peer&>(to));
+  if (call.caller != nullptr && call.caller->stream->hasRemoteClosed()) {
+    onCallerRelease(call, kCauseNormalClearing);
+    queuedEvents_.push_back([&call, &peer](Controller& controller) {
+      controller.inviteEnded(call, peer, InviteOutcome::notSent, BlockingReason::none, false, Span::none(), false);
+    });
+    return;
+  }
   ++counters_.invites;
   call.peer = &peer;
   call.giveUpAt = std::min(now_ + giveUpAfter, call.timerLimit);
@@ -171,6 +178,7 @@
   std::erase(invitedCalls_, &call);
   call.trunk = nullptr;
   call.state = Call::State::established;
+  call.mayHaveRun = true;
   call.establishedAt = now_;
   dropDescription(call);
   call.peer->establishedCalls.push_back(&call);
@@ -209,6 +217,9 @@
   std::erase(invitedCalls_, &call);
   call.trunk = nullptr;
   call.state = Call::State::unrouted;
+  if (outcome != InviteOutcome::overloaded && outcome != InviteOutcome::notSent &&
+      outcome != InviteOutcome::unreachable)
+    call.mayHaveRun = true;
   queuedEvents_.push_back([&call, peer = call.peer, outcome, reason, farProcessor, reportedWait](Controller& to) {
     to.inviteEnded(call, *peer, outcome, reason, farProcessor, reportedWait, false);
   });
@@ -227,6 +238,7 @@
     });
   }
   call.state = Call::State::finished;
+  rememberExecuted(call);
   detachEstablishedCall(call);
   finishedCallIds_.push_back(call.id);
 }
--- a/src/platform/softswitch.cpp
+++ b/src/platform/softswitch.cpp
@@ -24,10 +24,10 @@
 constexpr Span kMaxDrainTime = Span::ms(3000);
 constexpr Span kDrainMargin = Span::ms(400);
 
-// Calls that are over and may still be named by their callers, and how long they are remembered: the front takes in a
-// restarted softswitch only after some seconds.
-constexpr std::size_t kMaxEndedCalls = 8192;
-constexpr Span kEndedCallRetention = Span::ms(30000);
+// Calls that are over and may still be named by their callers or have their ids used again, and how long they are
+// remembered: the front takes in a restarted softswitch only after some seconds.
+constexpr std::size_t kMaxRecentCalls = 8192;
+constexpr Span kRecentCallRetention = Span::ms(30000);
 
 constexpr int kCauseNoCircuit = 34;  // release cause of a set-up that is refused as busy
 
@@ -52,7 +52,8 @@
       controller_(controllerFactory(deployment_.officeConfig, deployment_.seed)),
       registry_(deployment_.ownPlace, [] { return std::make_unique<Peer>(); }),
       bulletin_(std::make_unique<Bulletin>()),
-      endedCalls_(kMaxEndedCalls, kEndedCallRetention),
+      endedCalls_(kMaxRecentCalls, kRecentCallRetention),
+      executedSetups_(kMaxRecentCalls, kRecentCallRetention),
       random_(static_cast<std::ranlux24_base::result_type>(deployment_.seed ^ (deployment_.seed >> 24))),
       startedAt_(now),
       now_(now) {
@@ -88,7 +89,9 @@
   for (const auto& [id, cause] : std::exchange(peer.pendingReleases, {})) writeRelease(trunk, id, cause);
   withdrawInvites(trunk);
   const auto invitedCalls = trunk.invitedCalls;
-  for (Call* call : invitedCalls) writeSetup(trunk, *call);
+  for (Call* call : invitedCalls) {
+    if (!endIfCallerLeft(*call)) writeSetup(trunk, *call);
+  }
 }
 
 void Softswitch::onData(Instant now, Stream& stream, std::string_view bytes) {
@@ -98,6 +101,11 @@
   const bool isCaller = connection.type == Connection::Type::caller;
   LineReader& reader =
       isCaller ? static_cast<CallerConnection&>(connection).reader : static_cast<TrunkConnection&>(connection).reader;
+  if (isCaller && stream.hasRemoteClosed()) {
+    auto& caller = static_cast<CallerConnection&>(connection);
+    caller.hasLeft = true;
+    abandonSetups(caller);
+  }
   bool isReadable = reader.add(bytes);
   while (connection.stream != nullptr) {
     const auto line = reader.next();
@@ -159,6 +167,7 @@
     --call.caller->pendingSetups;
   }
   --pendingSetups_;
+  rememberExecuted(call);
   dropDescription(call);
   call.state = Call::State::finished;
   call.caller = nullptr;
@@ -344,6 +353,7 @@
     maintainTrunks();
     maintainCallers();
   }
+  passOnHeldSetups();
   runRound();
   closedConnections_.clear();
 }
@@ -389,7 +399,7 @@
       " cut=" + std::to_string(counters_.droppedCalls) + " unusable=" + std::to_string(counters_.invalidFromCallers) +
       " spoilt=" + std::to_string(counters_.invalidFromExchanges) +
       " dialled=" + std::to_string(counters_.connectAttempts) + " not-up=" + std::to_string(counters_.failedConnects) +
-      " over-bound=" + std::to_string(counters_.limitHits) +
+      " over-bound=" + std::to_string(counters_.limitHits) + " returned=" + std::to_string(counters_.returnedSetups) +
       " taken-back=" + std::to_string(counters_.withdrawnInvites) +
       " asked=" + std::to_string(counters_.subscriptions) + " last-event=" + std::to_string(bulletin_->lastEvent) +
       " listed=" + std::to_string(registry_.all().size());
--- a/src/platform/softswitch.hpp
+++ b/src/platform/softswitch.hpp
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "platform/deployment.hpp"
-#include "platform/ended_calls.hpp"
 #include "platform/message.hpp"
+#include "platform/recent_calls.hpp"
 #include "stream_handler.hpp"
 #include "thistlefold/controller.hpp"
 #include "thistlefold/decision_sink.hpp"
@@ -41,7 +41,8 @@
   std::uint64_t limitHits = 0;  ///< connections evicted or rejected, set-ups rejected, INVITEs without a connection
   /// INVITEs withdrawn while they waited for a connection, as their exchange drains, has gone or was restarted.
   std::uint64_t withdrawnInvites = 0;
-  std::uint64_t subscriptions = 0;  ///< connections to the bulletin
+  std::uint64_t subscriptions = 0;   ///< connections to the bulletin
+  std::uint64_t returnedSetups = 0;  ///< set-ups rejected because their id was used by one that may have been executed
 };
 
 /// One softswitch on the platform's protocol. Manages connections, set-ups and established calls, and translates
@@ -89,6 +90,13 @@
   void adoptEstablishedCall(CallerConnection& connection, const Message& message, std::string_view exchange);
   void rejectInvalid(CallerConnection& connection, std::string_view id);
   void rejectOverloaded(CallerConnection& connection, std::string_view id);
+  void rejectReturned(CallerConnection& connection, const std::string& id);
+  bool isReturned(const std::string& id) const;
+  bool endIfCallerLeft(Call& call);
+  void passOnHeldSetups();
+  void rememberExecuted(const Call& call);
+  void abandonSetups(const CallerConnection& connection);
+  void writeRefusal(CallerConnection& connection, std::string_view id, Span retryAfter);
   void onCallerRelease(Call& call, int cause);
   void attachEstablishedCall(Call& call, CallerConnection& connection);
   void detachEstablishedCall(Call& call);
@@ -171,6 +179,7 @@
   };
   std::vector<UndeliveredRelease> undeliveredReleases_;  // for callers, while none is connected that could receive them
   EndedCalls endedCalls_;
+  ExecutedSetups executedSetups_;
   SoftswitchCounters counters_;
   std::ranlux24_base random_;
   std::size_t pendingSetups_ = 0;
--- a/src/stream_handler.hpp
+++ b/src/stream_handler.hpp
@@ -29,6 +29,9 @@
   virtual std::size_t unsentBytes() const = 0;
   /// True if received bytes wait that were not yet passed to the handler.
   virtual bool hasUnreadData() const { return false; }
+  /// True if the remote end has closed its sending direction or reset the connection, also while unread data lies
+  /// before that.
+  virtual bool hasRemoteClosed() { return false; }
   /// Closes once the bytes sent so far were delivered, within a bounded linger time. No further callback follows.
   virtual void close() = 0;
   /// Receives bytes that the remote end sent before it noticed that the stream was closed.
--- a/tests/program/platform_fixture.hpp
+++ b/tests/program/platform_fixture.hpp
@@ -17,10 +17,14 @@
   iax2::Address remote;  // default value: a caller
   std::string sentBytes;
   bool closed = false;
-  std::size_t unsent = 0;  ///< bytes that the remote end does not read
+  bool remoteClosed = false;  ///< the remote end has closed, behind data that is unread
+  bool hasUnread = false;     ///< received data waits
+  std::size_t unsent = 0;     ///< bytes that the remote end does not read
   LateDataHandler onLateData;
   void send(std::string_view bytes) override { sentBytes += bytes; }
   std::size_t unsentBytes() const override { return unsent; }
+  bool hasUnreadData() const override { return hasUnread; }
+  bool hasRemoteClosed() override { return remoteClosed; }
   void close() override { closed = true; }
   void closeAndDrain(LateDataHandler handler) override {
     closed = true;
@@ -48,8 +52,9 @@
     {"uid":"s-00000002","endpoint":"127.0.0.3:5000","az":"a","pod_group":1,"state":"ready","boot_ms":0},
     {"uid":"s-00000003","endpoint":"127.0.0.4:5000","az":"a","pod_group":2,"state":"ready","boot_ms":0}]}}]},
   "settings":{"Caps":{"ConnectTimeout":500,"MaxAttempts":6,"MaxRetryAfter":2000,"RetryAfter":true,"OpenCap":50},
-    "FamilyInfo":{"ChannelsNeeded":[1,4],"ClearWait":300,"MeanHold":[10000,10000],"ThisNode":0,"Topology":"mesh"},
-    "Grades":[{"Name":"voice","Aim":2000,"GiveUp":9000},{"Name":"wide","Aim":1500,"GiveUp":9000,"Credit":2}],
+    "FamilyInfo":{"ChannelsNeeded":[1,4,1],"ClearWait":300,"MeanHold":[10000,10000,10000],"ThisNode":0,"Topology":"mesh"},
+    "Grades":[{"Name":"voice","Aim":2000,"GiveUp":9000},{"Name":"wide","Aim":1500,"GiveUp":9000,"Credit":2},
+      {"Name":"once","Aim":2000,"GiveUp":9000,"Semantics":"non_idempotent"}],
     "Obligations":{"ColdFrom":0.3,"WarmAfter":15000,"FallMultiple":3,"TipAfter":1500},
     "Report":{"Names":["free","size","can_take"]}}})";
 
--- a/tests/program/platform_ended_calls.cpp
+++ b/tests/program/platform_recent_calls.cpp
@@ -2,10 +2,11 @@
 
 #include <doctest/doctest.h>
 
-#include "platform/ended_calls.hpp"
+#include "platform/recent_calls.hpp"
 
 using namespace thistlefold;
 using thistlefold::platform::EndedCalls;
+using thistlefold::platform::ExecutedSetups;
 
 // Guards against releases of not yet named calls being dropped at a limit, or sooner than a slow front lets callers in.
 TEST_CASE("platform: ended calls are remembered for their time, and the oldest is forgotten at the limit") {
@@ -28,3 +29,16 @@
   CHECK(!causeOf("b"));
   CHECK(causeOf("c") == 41);
 }
+
+// Guards against a newer record being forgotten when the time of the one that it replaced is over.
+TEST_CASE("platform: a record that was replaced is kept for the time of the newer one") {
+  const Instant start = Instant::ms(0);
+  ExecutedSetups setups(2, Span::ms(1000));
+  setups.replace("a", {start, true}, start);
+  setups.replace("a", {start + Span::ms(600), false}, start + Span::ms(600));
+  setups.expire(start + Span::ms(1100));
+  REQUIRE(setups.find("a"));
+  CHECK(!setups.find("a")->repeatable);
+  setups.expire(start + Span::ms(1700));
+  CHECK(!setups.find("a"));
+}
--- a/tests/program/streams.cpp
+++ b/tests/program/streams.cpp
@@ -276,3 +276,20 @@
     return received.find("\"release\",\"id\":\"" + kFirstId) != std::string::npos;
   }));
 }
+
+// Guards against set-ups being sent on that their caller wrote before it closed, more of them than are read in one go.
+TEST_CASE("streams: of more set-ups than are read at once none is relayed whose caller has closed by then") {
+  SoftswitchFixture fixture;
+  Socket caller = Socket::to(fixture.port);
+  std::string lines;
+  for (int i = 0; i < 40; ++i)
+    lines += SoftswitchFixture::setupLine(kSecondId.substr(2) + std::to_string(10 + i), 8000);
+  const int bufferBytes = 1 << 20;
+  REQUIRE(::setsockopt(caller.fd(), SOL_SOCKET, SO_SNDBUF, &bufferBytes, sizeof bufferBytes) == 0);
+  caller.send(lines);
+  caller.close();
+  Socket other = Socket::to(fixture.port);
+  other.send(SoftswitchFixture::setupLine(kFirstId));
+  REQUIRE(fixture.runUntil([&] { return fixture.exchangeReceived(kFirstId) && fixture.statusContains("callers=1 "); }));
+  for (int i = 0; i < 40; ++i) CHECK(!fixture.exchangeReceived(kSecondId.substr(2) + std::to_string(10 + i)));
+}
