Calls that clients name are bounded by the memory, and shared between clients

Cause: the bound was twice Caps.OpenCap (40,000 calls) whatever the memory, first come first served; releases beyond it were queued for the exchange without bound.

Change: a sixteenth of the memory at 512 bytes a call; at the limit the client with the most named calls gives way to one with fewer; with 64 KiB unsent, releases to an exchange go to the bounded list.

--- a/src/platform/callers.cpp
+++ b/src/platform/callers.cpp
@@ -29,6 +29,11 @@
 constexpr std::size_t kDescriptionMemoryDivisor = 4;
 // Calls adopted from before the start that may be held, for each set-up that may be pending.
 constexpr std::size_t kAdoptedCallsPerSetup = 2;
+// Adopted calls may fill this fraction (one sixteenth) of the memory, at about this size each.
+constexpr std::size_t kAdoptedMemoryDivisor = 16;
+constexpr std::size_t kAdoptedCallBytes = 512;
+// Adopted calls of the client with the most that are ended at once to make room, as the search for them takes time.
+constexpr std::size_t kAdoptedCallsEndedAtOnce = 64;
 // No set-up is accepted this long before the exit of a planned restart, so that each one accepted gets an answer.
 constexpr Span kNoNewSetupsBeforeExit = Span::ms(300);
 
@@ -292,7 +297,7 @@
   if (peer == nullptr || peer->own) return rejectStaleName(connection, message.id);
   noteNamedCall(connection, false);
   const bool isOver = !peer->hasProcess() || peer->listedStart > startedAt_;
-  if (isOver || adoptedCalls_ >= kAdoptedCallsPerSetup * deployment_.maxPendingSetups) {
+  if (isOver || (adoptedCalls_ >= maxAdoptedCalls() && !makeRoomForNamedCall(connection))) {
     // Nobody else would release the call towards its caller. At the limit it is ended at both of its ends.
     if (peer->hasProcess()) sendRelease(*peer, nullptr, message.id, kCauseNormalClearing);
     return rejectStaleName(connection, message.id);
@@ -302,14 +307,38 @@
   newCall->state = Call::State::established;
   newCall->knownToController = false;
   newCall->isConfirmed = false;
-  attachEstablishedCall(*newCall, connection);
   newCall->peer = peer;
+  attachEstablishedCall(*newCall, connection);
   newCall->establishedAt = startedAt_;  // at the latest
   ++adoptedCalls_;
   peer->establishedCalls.push_back(newCall.get());
   calls_.emplace(message.id, std::move(newCall));
 }
 
+std::size_t Softswitch::maxAdoptedCalls() const {
+  return std::min(kAdoptedCallsPerSetup * deployment_.maxPendingSetups,
+                  deployment_.memoryBytes / kAdoptedMemoryDivisor / kAdoptedCallBytes);
+}
+
+// At the limit of adopted calls, ends some of the client that has the most, at both of their ends. Returns false if
+// that is the one that named another.
+bool Softswitch::makeRoomForNamedCall(const CallerConnection& namer) {
+  const auto most = std::max_element(callers_.begin(), callers_.end(),
+                                     [](const auto& a, const auto& b) { return a->adoptedCalls < b->adoptedCalls; });
+  if ((*most)->adoptedCalls <= namer.adoptedCalls + 1) return false;
+  std::vector<Call*> ended;
+  for (const auto& [id, call] : calls_) {
+    if (ended.size() == kAdoptedCallsEndedAtOnce) break;
+    if (call->caller == most->get() && call->state == Call::State::established && !call->knownToController)
+      ended.push_back(call.get());
+  }
+  for (Call* call : ended) {
+    sendRelease(*call->peer, nullptr, call->id, kCauseNormalClearing);
+    endEstablishedCall(*call, InviteOutcome::reset, kCauseTemporaryFailure);
+  }
+  return !ended.empty();
+}
+
 // Notes what the naming of a call tells of a client. `isConfirmed`: somebody else knows the call too.
 void Softswitch::noteNamedCall(CallerConnection& connection, bool isConfirmed) {
   connection.hasSentValidMessage = true;
@@ -376,12 +405,14 @@
 void Softswitch::attachEstablishedCall(Call& call, CallerConnection& connection) {
   call.caller = &connection;
   ++connection.establishedCalls;
+  if (!call.knownToController) ++connection.adoptedCalls;
   connection.lastMessageAt = now_;
 }
 
 void Softswitch::detachEstablishedCall(Call& call) {
   if (call.caller == nullptr) return;
   --call.caller->establishedCalls;
+  if (!call.knownToController) --call.caller->adoptedCalls;
   call.caller->lastMessageAt = now_;
   call.caller = nullptr;
 }
--- a/src/platform/connections.hpp
+++ b/src/platform/connections.hpp
@@ -71,6 +71,7 @@
   int invalidMessages = 0;                      ///< received so far
   std::size_t pendingSetups = 0;                ///< set-ups without a final answer
   std::size_t establishedCalls = 0;             ///< that it carried or named; each is `Call::caller` of its own
+  std::size_t adoptedCalls = 0;                 ///< those of them that stood before this softswitch started
   std::vector<Call*> heldSetups;                ///< not passed on yet, as data behind them is unread
   Instant heldSince;                            ///< when the first of them was read
   std::vector<SentCallerRelease> sentReleases;  ///< of established calls, written to it and not acknowledged yet
--- a/src/platform/exchanges.cpp
+++ b/src/platform/exchanges.cpp
@@ -10,6 +10,8 @@
 
 // Releases of one connection that may be repeated on another.
 constexpr std::size_t kMaxSentReleases = 64;
+// No release is written to a connection on which more than this waits to be sent, as its exchange does not read.
+constexpr std::size_t kMaxUnsentBytes = std::size_t{64} * 1024;
 
 }  // namespace
 
@@ -67,7 +69,8 @@
         connection = candidate.get();
     }
   }
-  if (connection != nullptr) return writeRelease(*connection, id, cause);
+  if (connection != nullptr && connection->stream->unsentBytes() <= kMaxUnsentBytes)
+    return writeRelease(*connection, id, cause);
   if (peer.pendingReleases.size() < kMaxStoredReleases) peer.pendingReleases.emplace_back(id, cause);
 }
 
--- a/src/platform/softswitch.hpp
+++ b/src/platform/softswitch.hpp
@@ -103,6 +103,8 @@
   void dropDescription(Call& call);
   void closeCaller(CallerConnection& connection, bool atOnce = false);
   void noteNamedCall(CallerConnection& connection, bool isConfirmed);
+  bool makeRoomForNamedCall(const CallerConnection& namer);
+  std::size_t maxAdoptedCalls() const;
   void rejectStaleName(CallerConnection& connection, const std::string& id);
 
   // Releases towards callers (caller_releases.cpp)
--- a/tests/program/platform_releases.cpp
+++ b/tests/program/platform_releases.cpp
@@ -531,3 +531,40 @@
   CHECK(formerCaller.closed);
   CHECK(!caller.closed);
 }
+
+// Guards against one client that names ever new calls filling the memory, and the room for the calls of all others.
+TEST_CASE("platform: calls named at full speed stay within the memory, and other clients' names find room") {
+  SoftswitchFixture fixture(256, 1 << 20);  // room for 128 calls by memory, less by the set-ups: 2 x 50
+  FakeStream& stranger = fixture.acceptCaller();
+  for (int i = 0; i < 1000; ++i) nameCall(fixture, stranger, numberedId(i), "s-00000002");
+  CHECK(fixture.softswitch.statusLine().find(" calls=100 ") != std::string::npos);
+  FakeStream& caller = fixture.acceptCaller();
+  for (int i = 0; i < 30; ++i) nameCall(fixture, caller, numberedId(2000 + i), "s-00000002");
+  for (int i = 0; i < 30; ++i) CHECK(countReleases(caller, numberedId(2000 + i)) == 0);
+  // Two clients with as many calls each do not end each other's.
+  FakeStream& third = fixture.acceptCaller();
+  for (int i = 0; i < 100; ++i) nameCall(fixture, third, numberedId(3000 + i), "s-00000002");
+  for (int i = 0; i < 30; ++i) CHECK(countReleases(caller, numberedId(2000 + i)) == 0);
+}
+
+TEST_CASE("platform: the memory limit bounds the calls that are named") {
+  SoftswitchFixture fixture(256, 256 << 10);
+  FakeStream& stranger = fixture.acceptCaller();
+  for (int i = 0; i < 200; ++i) nameCall(fixture, stranger, numberedId(i), "s-00000002");
+  CHECK(fixture.softswitch.statusLine().find(" calls=32 ") != std::string::npos);
+}
+
+// Guards against memory growing with what is queued for an exchange that does not read.
+TEST_CASE("platform: releases for an exchange that does not read wait in a bounded list, for its next connection") {
+  SoftswitchFixture fixture;
+  FakeStream& caller = fixture.acceptCaller();
+  nameCall(fixture, caller, kFirstId, "s-00000002");
+  FakeStream& trunk = *fixture.outgoingStreams(kExchangeAddress).front();
+  trunk.unsent = 100000;
+  sendRelease(fixture, caller, kFirstId, 16);
+  CHECK(countReleasesTo(fixture, kExchangeAddress, kFirstId) == 0);
+  endStream(fixture, trunk, CloseReason::reset);
+  fixture.advance(200);
+  fixture.completeConnects();
+  CHECK(countReleasesTo(fixture, kExchangeAddress, kFirstId) == 1);
+}
