A second copy of a rejection ends neither the call's next INVITE nor the call

Cause: a release on the connection of the INVITE that is out ended it, and selectConnection() took the connection that had just spoken for the next. Related: a copy after the answer ended the standing call (onExchangeRelease()).

Change: TrunkConnection::rejectedInvites; a call's next INVITE within a second goes out on another connection or counts as not sent; a release with the same cause that ends no INVITE there is a copy, and a new connection lets the exchange repeat it if it was meant.

Price not measured: a call that an exchange rejects and that goes there again may need one more connection.

--- a/src/platform/connections.hpp
+++ b/src/platform/connections.hpp
@@ -21,6 +21,8 @@
 /// A release may be lost with the connection it was written to. If that connection ends within this time, which is a
 /// few times the longest round trip, the release is repeated on another.
 inline constexpr Span kReleaseRepeatWindow = Span::ms(1000);
+/// A second copy of a release comes within this time after the first.
+inline constexpr Span kCopyWindow = Span::ms(1000);
 /// Release causes: a normal end or an abandoned set-up; a failed set-up or a dropped call.
 inline constexpr int kCauseNormalClearing = 16;
 inline constexpr int kCauseTemporaryFailure = 41;
@@ -98,6 +100,13 @@
   calls     ///< established calls: whether their exchange is alive, and releases from and to it
 };
 
+/// An INVITE that was answered with a release.
+struct RejectedInvite {
+  std::string id;
+  int cause;
+  Instant endedAt;
+};
+
 /// An outgoing connection to an exchange.
 struct TrunkConnection : Connection {
   Peer* peer = nullptr;  ///< the exchange; owns this connection
@@ -108,6 +117,9 @@
   Instant connectStartedAt, lastReceivedAt, lastRequestAt;
   std::vector<Call*> invitedCalls;        ///< calls whose INVITE is out on it or waits until it is connected
   std::vector<SentRelease> sentReleases;  ///< releases written to it that were not acknowledged yet
+  /// INVITEs on it that were rejected lately. The exchange may send a second copy of the release, which could be taken
+  /// for the end of the call's next INVITE.
+  std::vector<RejectedInvite> rejectedInvites;
 
   /// Whether closing it affects no set-up.
   bool isIdle() const { return connected && invitedCalls.empty(); }
--- a/src/platform/exchanges.cpp
+++ b/src/platform/exchanges.cpp
@@ -12,6 +12,8 @@
 constexpr std::size_t kMaxStoredReleases = 2048;
 // Releases of one connection that may be repeated on another.
 constexpr std::size_t kMaxSentReleases = 64;
+// INVITEs rejected lately that are remembered for each connection.
+constexpr std::size_t kMaxRejectedInvites = 64;
 // No release is written to a connection on which more than this waits to be sent, as its exchange does not read.
 constexpr std::size_t kMaxUnsentBytes = std::size_t{64} * 1024;
 
@@ -43,7 +45,7 @@
   std::erase_if(peer.pendingReleases, [&](const auto& release) { return release.first == call.id; });
   for (const auto& connection : peer.connections)
     std::erase_if(connection->sentReleases, [&](const SentRelease& release) { return release.id == call.id; });
-  TrunkConnection* connection = selectConnection(peer);
+  TrunkConnection* connection = selectConnection(peer, call);
   if (connection == nullptr) {
     // No connection exists and no file descriptor is left for one, or the exchange has no address any more.
     ++counters_.limitHits;
@@ -151,9 +153,32 @@
     return onAnswer(connection, *call, message->description);
   }
   if (isInvitedHere) return onInviteRejected(connection, *call, *message);
+  if (isCopyOfRejection(connection, *message)) {
+    // If it is a release of the established call after all, the exchange repeats it on the next connection.
+    connection.peer->bytesLostAt = now_;
+    return;
+  }
   onExchangeRelease(*connection.peer, *message);
 }
 
+// Whether a release that ends no INVITE repeats one that did on this connection. A release with cause 16 is the normal
+// end of an established call and never rejects an INVITE.
+bool Softswitch::isCopyOfRejection(const TrunkConnection& connection, const Message& message) const {
+  const int cause = message.cause.value_or(kCauseTemporaryFailure);
+  return std::any_of(connection.rejectedInvites.begin(), connection.rejectedInvites.end(),
+                     [&](const RejectedInvite& rejected) {
+                       return rejected.id == message.id && rejected.cause == cause && cause != kCauseNormalClearing &&
+                              now_ - rejected.endedAt < kCopyWindow;
+                     });
+}
+
+void Softswitch::rememberRejection(TrunkConnection& connection, const Call& call, int cause) {
+  auto& rejected = connection.rejectedInvites;
+  std::erase_if(rejected, [&](const RejectedInvite& one) { return now_ - one.endedAt >= kCopyWindow; });
+  if (rejected.size() == kMaxRejectedInvites) rejected.erase(rejected.begin());
+  rejected.push_back({call.id, cause, now_});
+}
+
 // Handles an exchange's release of a call that is established there, or that no caller has named yet.
 void Softswitch::onExchangeRelease(const Peer& peer, const Message& message) {
   const int cause = message.cause.value_or(kCauseTemporaryFailure);
@@ -200,6 +225,7 @@
 void Softswitch::onInviteRejected(TrunkConnection& connection, Call& call, const Message& message) {
   std::erase(connection.invitedCalls, &call);
   const int cause = message.cause.value_or(kCauseTemporaryFailure);
+  rememberRejection(connection, call, cause);
   const std::string_view note = message.field("note").value_or("");
   const BlockingReason reason = note == "atb"                     ? BlockingReason::noCircuit
                                 : note == "rtb" || note == "racc" ? BlockingReason::turnedBack
--- a/src/platform/softswitch.hpp
+++ b/src/platform/softswitch.hpp
@@ -118,6 +118,8 @@
 
   // Exchanges (exchanges.cpp)
   void onExchangeMessage(TrunkConnection& connection, std::string_view line);
+  bool isCopyOfRejection(const TrunkConnection& connection, const Message& message) const;
+  void rememberRejection(TrunkConnection& connection, const Call& call, int cause);
   void onExchangeRelease(const Peer& peer, const Message& message);
   void onLateExchangeData(Peer& peer, LineReader& reader, std::string_view bytes);
   void onLoadReport(Peer& peer, const Message& message);
@@ -132,7 +134,8 @@
   void writeSetup(TrunkConnection& connection, Call& call);
 
   // Connections to exchanges (trunks.cpp)
-  TrunkConnection* selectConnection(Peer& peer);
+  TrunkConnection* selectConnection(Peer& peer, const Call& call);
+  bool hasRejected(const TrunkConnection& connection, const std::string& id) const;
   TrunkConnection* openConnection(Peer& peer, ConnectionNeed need);
   bool makeRoomFor(const Peer& peer, ConnectionNeed need);
   TrunkConnection* selectEvicted(const Peer& peer, ConnectionNeed need) const;
--- a/src/platform/trunks.cpp
+++ b/src/platform/trunks.cpp
@@ -145,15 +145,22 @@
   return peer.connections.back().get();
 }
 
-// Selects the connection for a set-up: of those that carry no set-up the one on which data was received last, otherwise
-// a new one, otherwise the one that carries the fewest set-ups.
-TrunkConnection* Softswitch::selectConnection(Peer& peer) {
+// Whether an INVITE of a call was rejected on a connection so lately that a second copy of the release may come.
+bool Softswitch::hasRejected(const TrunkConnection& connection, const std::string& id) const {
+  return std::any_of(
+      connection.rejectedInvites.begin(), connection.rejectedInvites.end(),
+      [&](const RejectedInvite& rejected) { return rejected.id == id && now_ - rejected.endedAt < kCopyWindow; });
+}
+
+// Selects the connection for a set-up, none that has just rejected one of this call: of those that carry no set-up the
+// one on which data was received last, otherwise a new one, otherwise the one that carries the fewest set-ups.
+TrunkConnection* Softswitch::selectConnection(Peer& peer, const Call& call) {
   if (!peer.hasProcess()) return nullptr;
   TrunkConnection* best = nullptr;
   for (const auto& connection : peer.connections) {
     // If output is queued, the exchange does not read, and the set-up would be sent at an unpredictable time.
     if (!connection->connected || connection->suspect || !connection->invitedCalls.empty() ||
-        connection->stream->unsentBytes() > 0)
+        connection->stream->unsentBytes() > 0 || hasRejected(*connection, call.id))
       continue;
     if (best == nullptr || connection->lastReceivedAt > best->lastReceivedAt) best = connection.get();
   }
@@ -165,7 +172,7 @@
     if (TrunkConnection* connection = openConnection(peer, ConnectionNeed::setup)) return connection;
   }
   for (const auto& connection : peer.connections) {
-    if (connection->suspect) continue;
+    if (connection->suspect || hasRejected(*connection, call.id)) continue;
     if (best == nullptr || connection->invitedCalls.size() < best->invitedCalls.size()) best = connection.get();
   }
   return best;
--- a/tests/program/platform_releases.cpp
+++ b/tests/program/platform_releases.cpp
@@ -589,3 +589,36 @@
   CHECK(repeated > 8000);
   CHECK(repeated <= 16384 + 16 * 17);  // the limit, and a few for each connection
 }
+
+// Guards against a second copy of an error being taken for the end of the call's next INVITE, so that two were out, or
+// for the end of the call once that was answered.
+TEST_CASE("platform: a second copy of a rejection ends neither the call's next INVITE nor the call") {
+  for (const int cause : {34, 47, 41}) {
+    CAPTURE(cause);
+    SoftswitchFixture fixture;
+    FakeStream& caller = fixture.acceptCaller();
+    fixture.sendSetup(caller, kFirstId, "dest:1;width:1;via:-1", 9000);
+    FakeStream& trunk = *fixture.invitedStream(kFirstId);
+    sendRelease(fixture, trunk, kFirstId, cause);
+    for (int i = 0; i < 60 && fixture.invitedStream(kFirstId, 2) == nullptr; ++i) {
+      fixture.advance(10);
+      fixture.completeConnects();
+    }
+    REQUIRE(fixture.invitedStream(kFirstId, 2) != nullptr);
+    FakeStream& second = *fixture.invitedStream(kFirstId, 2);
+    CHECK(&second != &trunk);
+    sendRelease(fixture, trunk, kFirstId, cause);
+    fixture.advance(50);
+    CHECK(fixture.invitedStream(kFirstId, 3) == nullptr);
+    fixture.sendAnswer(second, kFirstId);
+    REQUIRE(caller.sent(MessageKind::answer).size() == 1);
+    sendRelease(fixture, trunk, kFirstId, cause);
+    fixture.advance(50);
+    CHECK(countReleases(caller, kFirstId) == 0);
+    // The exchange may have meant it: it is given the connection on which it would repeat it.
+    fixture.advance(100);
+    CHECK(fixture.outgoingStreams(kExchangeAddress).size() == 3);
+    sendRelease(fixture, *fixture.outgoingStreams(kExchangeAddress).back(), kFirstId, 16);
+    CHECK(countReleases(caller, kFirstId) == 1);
+  }
+}
--- a/tests/program/platform_returned_setups.cpp
+++ b/tests/program/platform_returned_setups.cpp
@@ -91,6 +91,7 @@
       fixture.deliver(*fixture.invitedStream(kFirstId, i),
                       R"({"type":"release","id":")" + kFirstId + R"(","fields":{},"cause":34})");
       fixture.advance(1);
+      fixture.completeConnects();
     }
     fixture.softswitch.onClosed(fixture.now, caller, CloseReason::closed);
     fixture.advance(3000);
