A named call is released if its exchange started while the softswitch may have been down

Cause: adoptEstablishedCall() compared the exchange's start with the softswitch's, but the call may have ended with the exchange before that.

Change: a named call counts as established ten seconds before the start (kMaxDowntime); an exchange that started later does not have it, and it is released at both ends.

--- a/src/platform/callers.cpp
+++ b/src/platform/callers.cpp
@@ -34,6 +34,8 @@
 constexpr std::size_t kAdoptedCallBytes = 512;
 // Adopted calls of the client with the most that are ended at once to make room, as the search for them takes time.
 constexpr std::size_t kAdoptedCallsEndedAtOnce = 64;
+// The process before this one ended at most this long before the start, and with it what it could notice and release.
+constexpr Span kMaxDowntime = Span::ms(10000);
 // No set-up is accepted this long before the exit of a planned restart, so that each one accepted gets an answer.
 constexpr Span kNoNewSetupsBeforeExit = Span::ms(300);
 
@@ -296,7 +298,9 @@
   }
   if (peer == nullptr || peer->own) return rejectStaleName(connection, message.id);
   noteNamedCall(connection, false);
-  const bool isOver = !peer->hasProcess() || peer->listedStart > startedAt_;
+  // When the call was established is not told. An exchange that started while nobody watched it may have had it before.
+  const Instant establishedAt = startedAt_ - kMaxDowntime;
+  const bool isOver = !peer->hasProcess() || peer->listedStart > establishedAt;
   if (isOver || (adoptedCalls_ >= maxAdoptedCalls() && !makeRoomForNamedCall(connection))) {
     // Nobody else would release the call towards its caller. At the limit it is ended at both of its ends.
     if (peer->hasProcess()) sendRelease(*peer, nullptr, message.id, kCauseNormalClearing);
@@ -309,7 +313,7 @@
   newCall->isConfirmed = false;
   newCall->peer = peer;
   attachEstablishedCall(*newCall, connection);
-  newCall->establishedAt = startedAt_;  // at the latest
+  newCall->establishedAt = establishedAt;
   ++adoptedCalls_;
   peer->establishedCalls.push_back(newCall.get());
   calls_.emplace(message.id, std::move(newCall));
--- a/tests/program/platform_releases.cpp
+++ b/tests/program/platform_releases.cpp
@@ -622,3 +622,25 @@
     CHECK(countReleases(caller, kFirstId) == 1);
   }
 }
+
+// Guards against calls being held for ever whose exchange restarted under its id while the softswitch was down.
+TEST_CASE(
+    "platform: a named call is released at both ends if its exchange started while the softswitch may have been down") {
+  for (const bool isListedFirst : {true, false}) {
+    for (const std::uint64_t startedBeforeMs : {500, 9000, 11000}) {
+      CAPTURE(isListedFirst);
+      CAPTURE(startedBeforeMs);
+      SoftswitchFixture fixture;
+      FakeStream& caller = fixture.acceptCaller();
+      const std::string restarted = encodeRecord(2, kExchangeAddress, 0, 1, kStartMs - startedBeforeMs);
+      if (isListedFirst) publish(fixture, 8, restarted);
+      nameCall(fixture, caller, kFirstId, "s-00000002");
+      if (!isListedFirst) publish(fixture, 8, restarted);
+      const bool isOver = startedBeforeMs < 10000;
+      CHECK(countReleases(caller, kFirstId) == (isOver ? 1 : 0));
+      CHECK(holdsNoCall(fixture) == isOver);
+      fixture.completeConnects();
+      CHECK(countReleasesTo(fixture, kExchangeAddress, kFirstId) == (isOver ? 1 : 0));
+    }
+  }
+}
--- a/tests/program/streams.cpp
+++ b/tests/program/streams.cpp
@@ -333,7 +333,7 @@
   std::size_t received = 0;
   CHECK(fixture.runUntil([&] {
     for (Socket& client : clients) received += client.receiveAvailable().size();
-    return received >= 3 * 4000 * pong.size();
+    return received >= 3 * pong.size() * 4000;
   }));
   CHECK(fixture.runUntil([&] { return fixture.statusContains("callers=3 "); }));
 }
