A planned restart does not wait for a client that sends without pause

Seen (real process, one client of small messages at full speed for 12 s, SIGTERM after 1.5 s): the process ended 10,535 ms after SIGTERM; without that client after 3,606 ms. SIGKILL comes after 3.7 s at the soonest.

Cause: isStopped() waited until no caller's data was unread, without end.

Change: kMaxUnreadWait, 50 ms past the time of the exit.

--- a/src/platform/softswitch.cpp
+++ b/src/platform/softswitch.cpp
@@ -23,6 +23,8 @@
 // kDrainMargin is used beyond the limit; the rest of the 0.7 s is for the delivery of the last answers.
 constexpr Span kMaxDrainTime = Span::ms(3000);
 constexpr Span kDrainMargin = Span::ms(400);
+// A client that sends without pause always has unread data. The exit waits for no client longer than this.
+constexpr Span kMaxUnreadWait = Span::ms(50);
 
 // Calls that are over and may still be named by their callers or have their ids used again, and how long they are
 // remembered: the front takes in a restarted softswitch only after some seconds.
@@ -374,7 +376,8 @@
 
 bool Softswitch::isStopped(Instant now) const {
   const auto hasUnreadData = [](const auto& connection) { return connection->stream->hasUnreadData(); };
-  return now >= exitAt_ && pendingSetups_ == 0 && std::none_of(callers_.begin(), callers_.end(), hasUnreadData);
+  if (now < exitAt_ || pendingSetups_ > 0) return false;
+  return now >= exitAt_ + kMaxUnreadWait || std::none_of(callers_.begin(), callers_.end(), hasUnreadData);
 }
 
 void Softswitch::closeConnections(Instant now) {
--- a/src/platform/softswitch.hpp
+++ b/src/platform/softswitch.hpp
@@ -66,7 +66,8 @@
   void reconfigure(Instant now, const Deployment& deployment);
   /// Begins a planned restart: pending set-ups are completed, and new ones accepted until shortly before the exit.
   void stop(Instant now);
-  /// True once stop() was called, its time has passed, no set-up is pending and no caller's data is unread.
+  /// True once stop() was called, its time has passed, no set-up is pending and no caller's data is unread or its
+  /// client has gone on sending.
   bool isStopped(Instant now) const;
   /// Closes each connection once the data sent on it was delivered. To be called after isStopped() has become true.
   void closeConnections(Instant now);
--- a/tests/program/platform_returned_setups.cpp
+++ b/tests/program/platform_returned_setups.cpp
@@ -168,3 +168,20 @@
   CHECK(countInvites(fixture, kSecondId) == 1);
   CHECK(countInvites(fixture, kThirdId) == 0);
 }
+
+// Guards against a client that sends without pause keeping a planned restart from ending, until it is killed.
+TEST_CASE("platform: a planned restart waits for unread data, but not for a client that sends without pause") {
+  for (const bool isEndless : {false, true}) {
+    CAPTURE(isEndless);
+    SoftswitchFixture fixture;
+    FakeStream& caller = fixture.acceptCaller();
+    fixture.sendSetup(caller, kFirstId, "dest:9;width:1;via:-1");
+    caller.hasUnread = true;
+    fixture.softswitch.stop(fixture.now);
+    fixture.advance(3410);  // three seconds and the drain margin
+    CHECK(!fixture.softswitch.isStopped(fixture.now));
+    if (isEndless) fixture.advance(60);
+    if (!isEndless) caller.hasUnread = false;
+    CHECK(fixture.softswitch.isStopped(fixture.now));
+  }
+}
