The platform's callers in three files: connections, set-ups, calls that they name

Need: callers.cpp had grown to 472 lines with three jobs.

Change: setups.cpp and named_calls.cpp take their functions and constants over, unchanged; the class declares them in the same groups; one release cause moves to connections.hpp.

--- a/src/platform/connections.hpp
+++ b/src/platform/connections.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 // State that a softswitch keeps for its connections, the exchanges and the calls. Private to
-// softswitch.cpp, callers.cpp, caller_releases.cpp, exchanges.cpp and trunks.cpp.
+// softswitch.cpp, callers.cpp, setups.cpp, named_calls.cpp, caller_releases.cpp, exchanges.cpp and trunks.cpp.
 
 #include <memory>
 #include <string>
@@ -26,6 +26,8 @@
 /// Release causes: a normal end or an abandoned set-up; a failed set-up or a dropped call.
 inline constexpr int kCauseNormalClearing = 16;
 inline constexpr int kCauseTemporaryFailure = 41;
+/// Release cause: the message is invalid.
+inline constexpr int kCauseInvalidContents = 100;
 
 struct Call;
 struct Peer;
--- a/src/platform/softswitch.hpp
+++ b/src/platform/softswitch.hpp
@@ -85,11 +85,14 @@
   void scheduleWakeUp(Span delay) override;
   void subscribe() override {}
 
-  // Callers (callers.cpp)
+  // Callers' connections (callers.cpp)
   void onCallerMessage(CallerConnection& connection, std::string_view line);
-  void onSetup(CallerConnection& connection, const Message& message);
-  void adoptEstablishedCall(CallerConnection& connection, const Message& message, std::string_view exchange);
   void rejectInvalid(CallerConnection& connection, std::string_view id);
+  void onCallerRelease(Call& call, int cause);
+  void closeCaller(CallerConnection& connection, bool atOnce = false);
+
+  // Set-ups (setups.cpp)
+  void onSetup(CallerConnection& connection, const Message& message);
   void rejectOverloaded(CallerConnection& connection, std::string_view id);
   void rejectReturned(CallerConnection& connection, const std::string& id);
   bool isReturned(const std::string& id) const;
@@ -98,11 +101,12 @@
   void rememberExecuted(const Call& call);
   void abandonSetups(const CallerConnection& connection);
   void writeRefusal(CallerConnection& connection, std::string_view id, Span retryAfter);
-  void onCallerRelease(Call& call, int cause);
+  void dropDescription(Call& call);
+
+  // Established calls and their callers (named_calls.cpp)
+  void adoptEstablishedCall(CallerConnection& connection, const Message& message, std::string_view exchange);
   void attachEstablishedCall(Call& call, CallerConnection& connection);
   void detachEstablishedCall(Call& call);
-  void dropDescription(Call& call);
-  void closeCaller(CallerConnection& connection, bool atOnce = false);
   void noteNamedCall(CallerConnection& connection, bool isConfirmed);
   bool makeRoomForNamedCall(const CallerConnection& namer);
   std::size_t maxAdoptedCalls() const;
