Set-ups with unread data behind them are held for up to a second, not 50 ms

Seen: 'streams: of more set-ups than are read at once none is relayed whose caller has closed by then' failed once in the whole program under sanitizers, beside lint on all cores: two set-ups of a burst were sent on.

Cause: the reader's rests, which came after the hold, make the reading of a burst three times as long; on a slow machine 50 ms pass before its end is seen.

Change: a second, the time for what the system buffers at a third of the reading's pace; less if a held set-up has under 100 ms left, so that it is refused in time.

--- a/src/platform/setups.cpp
+++ b/src/platform/setups.cpp
@@ -8,9 +8,10 @@
 namespace thistlefold::platform {
 namespace {
 
-// A set-up is passed on after this time even while data behind it is unread. The platform allows no INVITE 100 ms after
-// its caller has left.
-constexpr Span kMaxSetupHold = Span::ms(50);
+// A set-up is passed on after this time even while data behind it is unread, or this long before its caller stops
+// waiting, so that it can be refused in time.
+constexpr Span kMaxSetupHold = Span::ms(1000);
+constexpr Span kMinTimeToRefuse = Span::ms(100);
 // Pending set-ups of one connection.
 constexpr std::size_t kMaxPendingSetupsPerCaller = 512;
 // Descriptions of pending set-ups may fill this fraction (one quarter) of the memory. Connections take about another
@@ -152,7 +153,10 @@
 void Softswitch::passOnHeldSetups() {
   for (const auto& connection : callers_) {
     if (connection->heldSetups.empty()) continue;
-    if (connection->stream->hasUnreadData() && now_ - connection->heldSince < kMaxSetupHold) continue;
+    const bool isUrgent = now_ - connection->heldSince >= kMaxSetupHold ||
+                          std::any_of(connection->heldSetups.begin(), connection->heldSetups.end(),
+                                      [this](const Call* call) { return call->timerLimit - now_ < kMinTimeToRefuse; });
+    if (!isUrgent && connection->stream->hasUnreadData()) continue;
     for (Call* call : std::exchange(connection->heldSetups, {}))
       queuedEvents_.push_back([call](Controller& to) { to.sessionArrived(*call); });
   }
